--- /dev/null
+++ b/crates/control/src/allotment.rs
@@ -0,0 +1,276 @@
+//! Fleet-wide upper limits, split into one allotment a data centre.
+//!
+//! The row of a team lists each data centre's part; the parts' sum is at most
+//! the limit. An owner raises its own part only by a transaction on that row
+//! and uses more only afterwards; it lowers its own use first and the row
+//! afterwards.
+//!
+//! Invariant: the sum over data centres of what is in use never exceeds the
+//! sum of the parts, whatever answers are lost.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use compact_str::format_compact;
+use model::{Condition, Fault, Name, Resources, Transaction};
+use serde::{Deserialize, Serialize};
+
+use crate::event::Tables;
+use crate::node::Node;
+use crate::notice::Notice;
+use crate::store::{Answered, Purpose, version_of};
+use crate::submit::row;
+
+/// Time allowed for a move.
+const MOVE_TIME: Duration = Duration::from_secs(3);
+/// Period of reads of the rows.
+const SCAN_PERIOD: Duration = Duration::from_millis(1_000);
+/// Pause between two moves of one team.
+const MOVE_PAUSE: Duration = Duration::from_millis(500);
+/// Tasks' worth of room that is asked for at a time.
+const ASK_AHEAD: u32 = 4;
+
+/// Row of a team's parts.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Parts {
+    pub(crate) parts: BTreeMap<Name, Resources>,
+    /// What data centres ask for and could not take.
+    pub(crate) wants: BTreeMap<Name, Resources>,
+}
+
+/// One team's allotment here.
+#[derive(Debug, Default)]
+struct Entry {
+    parts: Parts,
+    row: u64,
+    /// Use is kept within this, at most this data centre's part.
+    cap: Resources,
+    moving: Option<Resources>,
+    next_move: Duration,
+    want: Option<Resources>,
+}
+
+/// All teams' allotments.
+#[derive(Debug, Default)]
+pub(crate) struct Allotments {
+    entries: BTreeMap<Name, Entry>,
+    pub(crate) loaded: bool,
+    scanned: u64,
+    next_scan: Duration,
+}
+
+impl Node {
+    /// Most that a team may use in this data centre now.
+    pub(crate) fn allotment_of(&self, team: &Name) -> Resources {
+        let config = self.configuration.config.teams.get(team);
+        let Some(limit) = config.and_then(|t| t.limit) else {
+            return Resources::UNLIMITED;
+        };
+        // What an earlier owner left running here is not known yet.
+        if self.owner.uncertain_until.is_some() {
+            return Resources::ZERO;
+        }
+        let entry = self.owner.allotments.entries.get(team);
+        entry.map_or(Resources::ZERO, |e| e.cap.min(limit))
+    }
+
+    /// True when a team may hold one more executor slot here.
+    pub(crate) fn may_hold_slot(&self, team: &Name) -> bool {
+        let allotment = self.allotment_of(team);
+        let held = self.dispatcher.held_by(team);
+        allotment == Resources::UNLIMITED || (self.may_act() && held < allotment.slots)
+    }
+
+    fn in_use(&mut self, team: &Name) -> Resources {
+        let slots = Resources::of(0, 0, 0, self.dispatcher.held_by(team));
+        let id = self.owner.team_id(team);
+        self.owner.engine.used(id).plus(slots)
+    }
+
+    pub(crate) fn scan_allotments(&mut self) {
+        let purpose = Purpose::Allotments(self.owner.data_centre.clone());
+        if self.store.has(&purpose) {
+            return;
+        }
+        let scan = Tables::Scan {
+            prefix: Name::from("allot/"),
+            after: self.owner.allotments.scanned,
+        };
+        self.owner.allotments.next_scan = self.now + SCAN_PERIOD;
+        let effect = self.store.read(scan, purpose, self.now);
+        self.out.push(effect);
+    }
+
+    pub(crate) fn allotments_scanned(&mut self, result: Result<Answered, Fault>) {
+        let Ok(Answered::Scanned(rows, version)) = result else {
+            return;
+        };
+        if !self.owner.holds_epoch() {
+            return;
+        }
+        for row in rows {
+            let team = row.key.strip_prefix("allot/").map(Name::from);
+            match (team, postcard::from_bytes::<Parts>(&row.cell.value)) {
+                (Some(team), Ok(parts)) => self.learn_parts(&team, parts, row.cell.version),
+                _ => self.log(Notice::JobMalformed(row.key)),
+            }
+        }
+        self.owner.allotments.scanned = version;
+        self.owner.allotments.loaded = true;
+    }
+
+    fn learn_parts(&mut self, team: &Name, parts: Parts, version: u64) {
+        let here = self.owner.data_centre.clone();
+        let entry = self
+            .owner
+            .allotments
+            .entries
+            .entry(team.clone())
+            .or_default();
+        if version <= entry.row {
+            return;
+        }
+        let part = parts.parts.get(&here).copied().unwrap_or_default();
+        entry.row = version;
+        entry.parts = parts;
+        // While a lowering is under way the lower value holds.
+        entry.cap = match entry.moving {
+            Some(target) => part.min(target),
+            None => part,
+        };
+        self.apply_team(team);
+    }
+
+    /// Takes what is short and gives up what others ask for.
+    pub(crate) fn tick_allotments(&mut self) {
+        if !self.owner.holds_epoch() {
+            return;
+        }
+        if self.owner.allotments.next_scan <= self.now {
+            self.scan_allotments();
+        }
+        if !self.may_act() || self.store.is_down() {
+            return;
+        }
+        let teams: Vec<(Name, Resources)> = self
+            .configuration
+            .config
+            .teams
+            .iter()
+            .filter_map(|(name, team)| team.limit.map(|limit| (name.clone(), limit)))
+            .collect();
+        for (team, limit) in teams {
+            self.balance(&team, limit);
+        }
+    }
+
+    fn balance(&mut self, team: &Name, limit: Resources) {
+        let id = self.owner.team_id(team);
+        let mut need = self.owner.engine.take_short(id).unwrap_or_default();
+        let used = self.in_use(team);
+        let slot = Resources::of(0, 0, 0, 1);
+        if self.dispatcher.waits(team) && used.slots >= self.allotment_of(team).slots {
+            need = need.plus(slot);
+        }
+        let here = self.owner.data_centre.clone();
+        let now = self.now;
+        let entry = self
+            .owner
+            .allotments
+            .entries
+            .entry(team.clone())
+            .or_default();
+        if entry.moving.is_some() || entry.next_move > now {
+            return;
+        }
+        let part = entry.parts.parts.get(&here).copied().unwrap_or_default();
+        let others = entry.parts.parts.iter().filter(|(dc, _)| **dc != here);
+        let others = others.fold(Resources::ZERO, |sum, (_, p)| sum.plus(*p));
+        let wanted_elsewhere = entry.parts.wants.iter().filter(|(dc, _)| **dc != here);
+        let wanted = wanted_elsewhere.fold(Resources::ZERO, |sum, (_, w)| sum.plus(*w));
+        let room = limit.minus(others);
+        let target = match need.is_zero() {
+            false => used.plus(need.times(ASK_AHEAD)).max(part).min(room),
+            true => part.min(room).minus(wanted.min(part.minus(used))),
+        };
+        let enough = used.plus(need).fits(&target);
+        let want = (!need.is_zero() && !enough).then_some(need);
+        let wanting = entry.parts.wants.get(&here).copied();
+        if target == part && want == wanting {
+            return;
+        }
+        entry.want = want;
+        self.write_part(team, target);
+    }
+
+    fn write_part(&mut self, team: &Name, target: Resources) {
+        let here = self.owner.data_centre.clone();
+        let now = self.now;
+        let guard = self.owner.guard();
+        let config = Condition {
+            key: Name::from("config"),
+            version: self.configuration.row,
+        };
+        let Some(entry) = self.owner.allotments.entries.get_mut(team) else {
+            return;
+        };
+        let mut parts = entry.parts.clone();
+        parts.parts.insert(here.clone(), target);
+        match entry.want {
+            Some(want) => parts.wants.insert(here, want),
+            None => parts.wants.remove(&here),
+        };
+        entry.moving = Some(target);
+        entry.next_move = now + MOVE_PAUSE;
+        entry.cap = entry.cap.min(target);
+        let key = format_compact!("allot/{team}");
+        let transaction = Transaction {
+            conditions: vec![
+                Condition {
+                    key: key.clone(),
+                    version: entry.row,
+                },
+                config,
+                guard,
+            ],
+            writes: vec![row(&key, &parts)],
+        };
+        let purpose = Purpose::Allot(self.owner.data_centre.clone(), team.clone());
+        if !self.store.write(transaction, purpose, now + MOVE_TIME) {
+            self.allot_written(team, &Err(Fault::Unavailable));
+        }
+        self.apply_team(team);
+    }
+
+    pub(crate) fn allot_written(&mut self, team: &Name, result: &Result<Answered, Fault>) {
+        let here = self.owner.data_centre.clone();
+        let Some(entry) = self.owner.allotments.entries.get_mut(team) else {
+            return;
+        };
+        let Some(target) = entry.moving.take() else {
+            return;
+        };
+        match result {
+            Ok(answered) => {
+                entry.row = version_of(answered);
+                entry.parts.parts.insert(here.clone(), target);
+                match entry.want {
+                    Some(want) => entry.parts.wants.insert(here, want),
+                    None => entry.parts.wants.remove(&here),
+                };
+                entry.cap = target;
+                self.log(Notice::AllotmentMoved(team.clone()));
+                self.apply_team(team);
+            }
+            // A lowering that may have taken effect keeps the lower cap until
+            // the row is read again; a scan repeats every row after this.
+            Err(Fault::Unknown) => self.owner.allotments.scanned = 0,
+            Err(_) => {
+                let part = entry.parts.parts.get(&here).copied().unwrap_or_default();
+                entry.cap = part;
+                self.owner.allotments.scanned = 0;
+                self.apply_team(team);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/calls.rs
@@ -0,0 +1,377 @@
+//! Calls to workers: claims, renewals, orders and what the reports say.
+//!
+//! Orders stay queued until a report shows that the worker has them, so a lost
+//! call is repeated by the next one. One call is in flight per worker.
+//!
+//! Invariant: after an accepted report the engine holds exactly the attempts
+//! that the worker runs, plus those whose order is still queued.
+
+use std::time::Duration;
+
+use model::{
+    Attempt, Call, Ended, Epoch, Finished, JobId, Life, Name, Report, Resources, Running, Start,
+    Stop, TaskIndex, Vm,
+};
+use policy::{Outcome, State, WorkerId};
+
+use crate::event::{Effect, WorkerFault};
+use crate::node::Node;
+use crate::notice::Notice;
+use crate::owner::Tenure;
+
+/// Failed calls in a row after which a worker's leases are not renewed.
+const MAX_MISSES: u32 = 2;
+
+/// A worker with its queued orders.
+#[derive(Debug)]
+pub(crate) struct Backend {
+    pub(crate) name: Name,
+    pub(crate) rack: Name,
+    pub(crate) address: Name,
+    pub(crate) capacity: Resources,
+    pub(crate) life: Life,
+    pub(crate) id: WorkerId,
+    /// Time of the last call by which the worker confirmed this epoch.
+    pub(crate) confirmed: Option<Duration>,
+    /// True once a call of this epoch was accepted, until the worker is lost.
+    pub(crate) claimed: bool,
+    pub(crate) misses: u32,
+    pub(crate) next_call: Duration,
+    /// Holder, its epoch and ms since its last call, by the last survey.
+    pub(crate) holder_seen: Option<(Name, Epoch, u64)>,
+    starts: Vec<Start>,
+    stops: Vec<Stop>,
+    acks: Vec<(JobId, TaskIndex, Attempt)>,
+    /// Time at which leases were last renewed by a call that was sent.
+    renewed: Option<Duration>,
+    in_flight: bool,
+}
+
+impl Backend {
+    pub(crate) fn new(vm: &Vm, id: WorkerId, now: Duration) -> Self {
+        Self {
+            name: vm.name.clone(),
+            rack: vm.rack.clone(),
+            address: vm.address.clone(),
+            capacity: vm.capacity,
+            life: vm.life,
+            id,
+            confirmed: None,
+            claimed: false,
+            misses: 0,
+            next_call: now,
+            holder_seen: None,
+            starts: Vec::new(),
+            stops: Vec::new(),
+            acks: Vec::new(),
+            renewed: None,
+            in_flight: false,
+        }
+    }
+
+    /// Forgets an earlier epoch.
+    pub(crate) fn begin_epoch(&mut self, now: Duration) {
+        self.confirmed = None;
+        self.claimed = false;
+        self.misses = 0;
+        self.next_call = now;
+        self.starts.clear();
+        self.stops.clear();
+        self.acks.clear();
+        self.renewed = None;
+        self.in_flight = false;
+    }
+
+    fn has_orders(&self) -> bool {
+        !self.starts.is_empty() || !self.stops.is_empty() || !self.acks.is_empty()
+    }
+}
+
+/// A call in flight.
+#[derive(Debug)]
+pub(crate) struct Contact {
+    worker: usize,
+    epoch: Epoch,
+    sent: Duration,
+    survey: bool,
+    starts: usize,
+    stops: usize,
+    acks: usize,
+}
+
+impl Node {
+    /// Calls workers whose time has come.
+    pub(crate) fn tick_workers(&mut self) {
+        for at in 0..self.owner.workers.len() {
+            self.declare_lost(at);
+            if self.owner.workers[at].next_call <= self.now {
+                self.call(at);
+            }
+        }
+    }
+
+    /// Calls workers that have new orders.
+    pub(crate) fn send_orders(&mut self) {
+        for at in 0..self.owner.workers.len() {
+            if self.owner.workers[at].has_orders() && self.owner.workers[at].misses == 0 {
+                self.call(at);
+            }
+        }
+    }
+
+    fn call(&mut self, at: usize) {
+        let acting = match self.owner.tenure {
+            Tenure::Claiming { .. } => true,
+            Tenure::Active => self.may_act(),
+            Tenure::Surveying { .. } => false,
+            _ => return,
+        };
+        let worker = &mut self.owner.workers[at];
+        if worker.in_flight || worker.life == Life::Gone {
+            return;
+        }
+        // A worker that was silent is surveyed first: a renewal that it gets
+        // without our knowing would put off the time its tasks surely end.
+        let survey = !acting || worker.misses >= MAX_MISSES;
+        worker.in_flight = true;
+        worker.next_call = self.now + self.settings.timing.sync;
+        let mut call = Call {
+            epoch: self.owner.record.epoch,
+            lease_ms: self.settings.timing.task_lease.as_millis() as u64,
+            ..Call::default()
+        };
+        if !survey {
+            worker.renewed = Some(self.now);
+            call.holder = self.settings.identity.name.clone();
+            call.starts = worker.starts.clone();
+            call.stops = worker.stops.clone();
+            call.acks = worker.acks.clone();
+        }
+        self.owner.next_call += 1;
+        let id = self.owner.next_call;
+        call.seq = id;
+        let contact = Contact {
+            worker: at,
+            epoch: self.owner.record.epoch,
+            sent: self.now,
+            survey,
+            starts: call.starts.len(),
+            stops: call.stops.len(),
+            acks: call.acks.len(),
+        };
+        self.owner.contacts.insert(id, contact);
+        self.out.push(Effect::Worker {
+            id,
+            address: worker.address.clone(),
+            call: Box::new(call),
+        });
+    }
+
+    pub(crate) fn worker_answered(&mut self, id: u64, result: Result<Report, WorkerFault>) {
+        let Some(contact) = self.owner.contacts.remove(&id) else {
+            return;
+        };
+        self.owner.workers[contact.worker].in_flight = false;
+        match result {
+            Err(_) => self.missed(contact.worker),
+            Ok(report) if contact.survey => self.surveyed(&contact, report),
+            Ok(report) if !report.accepted => self.rejected(&contact, &report),
+            Ok(report) if contact.epoch == self.owner.record.epoch => {
+                self.reported(&contact, report);
+            }
+            Ok(_) => {}
+        }
+    }
+
+    fn missed(&mut self, at: usize) {
+        let worker = &mut self.owner.workers[at];
+        worker.misses += 1;
+        if worker.misses == MAX_MISSES {
+            let (id, name, claimed) = (worker.id, worker.name.clone(), worker.claimed);
+            if claimed {
+                self.owner.engine.set_worker(id, State::Leaving);
+            }
+            self.log(Notice::WorkerSilent(name));
+        }
+    }
+
+    /// A worker that has accepted a higher epoch ends this one.
+    fn rejected(&mut self, contact: &Contact, report: &Report) {
+        let superseded = report.epoch > contact.epoch;
+        if superseded && self.owner.holds_epoch() {
+            self.step_down();
+        }
+    }
+
+    fn surveyed(&mut self, contact: &Contact, report: Report) {
+        let current = report.epoch == self.owner.record.epoch;
+        let mine = report.holder == self.settings.identity.name && current;
+        if report.epoch > self.owner.record.epoch && self.owner.holds_epoch() {
+            return self.step_down();
+        }
+        let holds = self.owner.holds_epoch();
+        let worker = &mut self.owner.workers[contact.worker];
+        worker.holder_seen = Some((report.holder, report.epoch, report.contact_ms));
+        if holds {
+            worker.misses = 0;
+            worker.next_call = self.now;
+            if mine {
+                worker.confirmed = Some(contact.sent);
+            }
+        }
+    }
+
+    fn reported(&mut self, contact: &Contact, report: Report) {
+        let worker = &mut self.owner.workers[contact.worker];
+        let was_silent = worker.misses >= MAX_MISSES || !worker.claimed;
+        worker.misses = 0;
+        worker.confirmed = Some(contact.sent);
+        worker.claimed = true;
+        worker
+            .starts
+            .drain(..contact.starts.min(worker.starts.len()));
+        worker.stops.drain(..contact.stops.min(worker.stops.len()));
+        worker.acks.drain(..contact.acks.min(worker.acks.len()));
+        self.reconcile(contact.worker, &report);
+        let worker = &self.owner.workers[contact.worker];
+        let state = match worker.life {
+            Life::Live => State::Open,
+            _ => State::Leaving,
+        };
+        if was_silent {
+            self.log(Notice::WorkerBack(worker.name.clone()));
+        }
+        let id = self.owner.workers[contact.worker].id;
+        if self.owner.engine.state_of(id) != state {
+            self.owner.engine.set_worker(id, state);
+        }
+    }
+
+    /// Makes the engine's view of a worker equal to its report.
+    fn reconcile(&mut self, at: usize, report: &Report) {
+        for finished in &report.finished {
+            self.task_finished(at, finished);
+        }
+        for running in &report.running {
+            if !self.is_engaged(at, running) {
+                self.adopt_running(at, running);
+            }
+        }
+        let id = self.owner.workers[at].id;
+        let vanished: Vec<_> = self
+            .owner
+            .engine
+            .attempts_on(id)
+            .filter(|(job, task, attempt)| {
+                let Some(name) = self.owner.jobs.name_of(*job) else {
+                    return false;
+                };
+                let same =
+                    |j: &JobId, t: TaskIndex, a: Attempt| j == name && t == *task && a == *attempt;
+                let runs = report
+                    .running
+                    .iter()
+                    .any(|r| same(&r.job, r.task, r.attempt));
+                let queued = self.owner.workers[at]
+                    .starts
+                    .iter()
+                    .any(|s| same(&s.job, s.task, s.attempt));
+                !runs && !queued
+            })
+            .collect();
+        let now_ms = self.now.as_millis() as u64;
+        for (job, task, attempt) in vanished {
+            let outcome = Outcome::Interrupted;
+            self.owner
+                .engine
+                .ended(id, job, task, attempt, outcome, now_ms);
+        }
+        self.forget_strays(at, report);
+    }
+
+    fn is_engaged(&self, at: usize, running: &Running) -> bool {
+        let id = self.owner.workers[at].id;
+        self.owner.jobs.is_stray(at, running)
+            || self.owner.jobs.find(&running.job).is_some_and(|job| {
+                let wanted = (job, running.task, running.attempt);
+                self.owner
+                    .engine
+                    .attempts_on(id)
+                    .any(|found| found == wanted)
+            })
+    }
+
+    fn task_finished(&mut self, at: usize, finished: &Finished) {
+        let outcome = match finished.ended {
+            Ended::Completed => Outcome::Completed,
+            Ended::Failed => Outcome::Failed,
+            Ended::Stopped | Ended::Lapsed => Outcome::Interrupted,
+        };
+        let Some(job) = self.owner.jobs.find(&finished.job) else {
+            return self.acknowledge(at, finished);
+        };
+        let id = self.owner.workers[at].id;
+        let now_ms = self.now.as_millis() as u64;
+        let (task, attempt) = (finished.task, finished.attempt);
+        self.owner
+            .engine
+            .ended(id, job, task, attempt, outcome, now_ms);
+        match outcome {
+            Outcome::Completed => self.task_completed(at, finished),
+            _ => self.acknowledge(at, finished),
+        }
+    }
+
+    /// Lets the worker forget a finished attempt.
+    pub(crate) fn acknowledge(&mut self, at: usize, finished: &Finished) {
+        let ack = (finished.job.clone(), finished.task, finished.attempt);
+        let acks = &mut self.owner.workers[at].acks;
+        if !acks.contains(&ack) {
+            acks.push(ack);
+        }
+    }
+
+    /// Queues the start of a task.
+    pub(crate) fn order_start(&mut self, worker: WorkerId, start: Start) {
+        let found = self.owner.workers.iter_mut().find(|w| w.id == worker);
+        found.into_iter().for_each(|w| w.starts.push(start.clone()));
+    }
+
+    /// Queues the stop of an attempt; a start still queued goes with it, and
+    /// the worker refuses it if it has got it.
+    pub(crate) fn order_stop(&mut self, worker: WorkerId, stop: Stop) {
+        let found = self.owner.workers.iter_mut().find(|w| w.id == worker);
+        found.into_iter().for_each(|w| w.stops.push(stop.clone()));
+    }
+
+    /// Gives up on a silent worker once all its tasks have surely ended.
+    fn declare_lost(&mut self, at: usize) {
+        if !self.owner.is_active() {
+            return;
+        }
+        let worker = &self.owner.workers[at];
+        let over = worker
+            .renewed
+            .is_some_and(|sent| sent + self.settings.timing.surely_lapsed() <= self.now);
+        if !worker.claimed || worker.misses < MAX_MISSES || worker.in_flight || !over {
+            return;
+        }
+        let (id, name) = (worker.id, worker.name.clone());
+        let worker = &mut self.owner.workers[at];
+        worker.claimed = false;
+        worker.starts.clear();
+        worker.stops.clear();
+        worker.acks.clear();
+        self.log(Notice::WorkerLost(name));
+        let now_ms = self.now.as_millis() as u64;
+        let lost: Vec<_> = self.owner.engine.attempts_on(id).collect();
+        for (job, task, attempt) in lost {
+            let outcome = Outcome::Interrupted;
+            self.owner
+                .engine
+                .ended(id, job, task, attempt, outcome, now_ms);
+        }
+        self.owner.jobs.drop_strays(at);
+        self.owner.engine.set_worker(id, State::Lost);
+    }
+}
--- /dev/null
+++ b/crates/control/src/dispatch.rs
@@ -0,0 +1,465 @@
+//! Requests at the owner: waiting lines, slots and runs on executors.
+//!
+//! Teams share a service's slots by start-time fair queueing (Goyal, Vin and
+//! Cheng, 1996) on slot time, weighted by share.
+//!
+//! Invariant: no executor has more runs than slots, a team holds at most its
+//! allotted slots, and a run whose fate is unknown keeps its slot until it
+//! must have ended.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use model::{Answer, Life, Name, Reason, Refusal, Vm};
+use wire::{Frame, Serve, ServiceLoad};
+
+use crate::event::{Effect, Execute, ExecuteFault, Measure, Whole};
+use crate::node::Node;
+
+/// Runs tried for one request before it is refused.
+const MAX_RUNS: u32 = 3;
+/// Time for which a failing executor is avoided.
+const AVOID_TIME: Duration = Duration::from_secs(2);
+/// First guess of a run's length in ms.
+const FIRST_RUN_MS: f64 = 50.0;
+/// Weight of the newest run in the mean.
+const GAIN: f64 = 0.05;
+
+/// An executor with its slots.
+#[derive(Debug)]
+struct Slots {
+    name: Name,
+    service: Name,
+    address: Name,
+    slots: u32,
+    busy: u32,
+    live: bool,
+    avoid_until: Duration,
+}
+
+/// A request that waits or runs.
+#[derive(Clone, Debug)]
+struct Waiting {
+    serve: Serve,
+    origin: Name,
+    arrived: Duration,
+    deadline: Duration,
+    runs: u32,
+}
+
+/// A run on an executor.
+#[derive(Debug)]
+struct Run {
+    waiting: Waiting,
+    executor: usize,
+    started: Duration,
+    charged: f64,
+}
+
+/// One team's line at one service.
+#[derive(Debug, Default)]
+struct Line {
+    waiting: VecDeque<Waiting>,
+    virtual_time: f64,
+}
+
+/// One service's lines.
+#[derive(Debug)]
+struct Service {
+    lines: BTreeMap<Name, Line>,
+    virtual_time: f64,
+    mean_ms: f64,
+    waiting: u32,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Self {
+            lines: BTreeMap::new(),
+            virtual_time: 0.0,
+            mean_ms: FIRST_RUN_MS,
+            waiting: 0,
+        }
+    }
+}
+
+/// Requests of one data centre.
+#[derive(Debug, Default)]
+pub(crate) struct Dispatcher {
+    executors: Vec<Slots>,
+    services: BTreeMap<Name, Service>,
+    runs: BTreeMap<u64, Run>,
+    held: BTreeMap<Name, u32>,
+    ghosts: BTreeSet<(Duration, u64, usize, Name)>,
+    next_run: u64,
+}
+
+impl Dispatcher {
+    pub(crate) fn is_idle(&self) -> bool {
+        self.runs.is_empty() && self.services.values().all(|s| s.waiting == 0)
+    }
+
+    /// Slots that a team holds.
+    pub(crate) fn held_by(&self, team: &Name) -> u32 {
+        self.held.get(team).copied().unwrap_or(0)
+    }
+
+    /// True when a request of the team waits.
+    pub(crate) fn waits(&self, team: &Name) -> bool {
+        let mut lines = self.services.values().filter_map(|s| s.lines.get(team));
+        lines.any(|l| !l.waiting.is_empty())
+    }
+
+    pub(crate) fn load_of(&self, service: &Name) -> Option<ServiceLoad> {
+        self.loads().into_iter().find(|l| l.service == *service)
+    }
+
+    /// Free slots and waiting requests of each service.
+    pub(crate) fn loads(&self) -> Vec<ServiceLoad> {
+        let mut loads: Vec<ServiceLoad> = Vec::new();
+        for executor in self.executors.iter().filter(|e| e.live) {
+            let free = executor.slots - executor.busy.min(executor.slots);
+            match loads.iter_mut().find(|l| l.service == executor.service) {
+                Some(load) => load.free += free,
+                None => loads.push(ServiceLoad {
+                    service: executor.service.clone(),
+                    free,
+                    waiting: self
+                        .services
+                        .get(&executor.service)
+                        .map_or(0, |s| s.waiting),
+                }),
+            }
+        }
+        loads
+    }
+
+    fn slots_of(&self, service: &Name) -> u32 {
+        let live = self
+            .executors
+            .iter()
+            .filter(|e| e.live && e.service == *service);
+        live.map(|e| e.slots).sum()
+    }
+
+    /// The least loaded executor with a free slot.
+    fn free_executor(&self, service: &Name, now: Duration) -> Option<usize> {
+        let mut best: Option<(bool, u32, usize)> = None;
+        for (at, executor) in self.executors.iter().enumerate() {
+            let usable = executor.live && executor.busy < executor.slots;
+            if !usable || executor.service != *service {
+                continue;
+            }
+            let rank = (executor.avoid_until > now, executor.busy, at);
+            if best.is_none_or(|b| rank < b) {
+                best = Some(rank);
+            }
+        }
+        best.filter(|(avoided, _, _)| !avoided).map(|(_, _, at)| at)
+    }
+
+    /// Reservations of slots never exceed what executors have.
+    pub(crate) fn overfull(&self) -> Option<&Name> {
+        let over = self.executors.iter().find(|e| e.busy > e.slots);
+        over.map(|e| &e.name)
+    }
+}
+
+impl Node {
+    /// Takes an executor from the VM list.
+    pub(crate) fn learn_executor(&mut self, vm: &Vm) {
+        let Some(executor) = &vm.executor else {
+            return;
+        };
+        let live = vm.life == Life::Live;
+        let known = self.dispatcher.executors.iter_mut();
+        match known.into_iter().find(|e| e.name == vm.name) {
+            Some(slots) => slots.live = live,
+            None => self.dispatcher.executors.push(Slots {
+                name: vm.name.clone(),
+                service: executor.service.clone(),
+                address: executor.address.clone(),
+                slots: executor.slots.min(executor.connections),
+                busy: 0,
+                live,
+                avoid_until: Duration::ZERO,
+            }),
+        }
+    }
+
+    /// Queues a request of a gateway, or refuses it.
+    pub(crate) fn serve_from(&mut self, origin: &Name, serve: Serve) {
+        if let Some(refusal) = self.refuse_serve(&serve) {
+            return self.answer_origin(origin, serve.id, Answer::Refused(refusal));
+        }
+        let waiting = Waiting {
+            origin: origin.clone(),
+            arrived: self.now,
+            deadline: self.now + Duration::from_millis(serve.budget_ms),
+            runs: 0,
+            serve,
+        };
+        self.enqueue(waiting, false);
+    }
+
+    fn refuse_serve(&self, serve: &Serve) -> Option<Refusal> {
+        let second = Duration::from_secs(1);
+        let slots = self.dispatcher.slots_of(&serve.service);
+        if !self.owner.is_active() || slots == 0 {
+            return Some(Refusal::after(Reason::NoBackend, second));
+        }
+        if self.refuses_work() {
+            return Some(Refusal::after(Reason::ShuttingDown, second));
+        }
+        let service = self.dispatcher.services.get(&serve.service)?;
+        let line = service.lines.get(&serve.team)?;
+        let waiting = line.waiting.len() as u32;
+        let share = self.share_of(&serve.team);
+        let rivals = service.lines.iter().filter(|(_, l)| !l.waiting.is_empty());
+        let shares: f64 = rivals.map(|(name, _)| self.share_of(name)).sum();
+        let own_slots = f64::from(slots) * share / shares.max(share);
+        let wait_ms = f64::from(waiting) * service.mean_ms / own_slots.max(0.1);
+        let full = waiting >= self.configuration.config.preset().max_waiting;
+        let late = wait_ms > serve.budget_ms as f64;
+        let retry = Duration::from_millis(wait_ms.clamp(50.0, 30_000.0) as u64);
+        (full || late).then_some(Refusal::after(Reason::Overloaded, retry))
+    }
+
+    fn share_of(&self, team: &Name) -> f64 {
+        let teams = &self.configuration.config.teams;
+        teams.get(team).map_or(1.0, |t| f64::from(t.share))
+    }
+
+    fn enqueue(&mut self, waiting: Waiting, again: bool) {
+        let name = waiting.serve.service.clone();
+        let service = self.dispatcher.services.entry(name).or_default();
+        service.waiting += 1;
+        let floor = service.virtual_time;
+        let line = service.lines.entry(waiting.serve.team.clone()).or_default();
+        if line.waiting.is_empty() {
+            line.virtual_time = line.virtual_time.max(floor);
+        }
+        match again {
+            true => line.waiting.push_front(waiting),
+            false => line.waiting.push_back(waiting),
+        }
+    }
+
+    /// Sends waiting requests while slots are free.
+    pub(crate) fn pump_all(&mut self) {
+        if !self.owner.is_active() {
+            return;
+        }
+        let names: Vec<Name> = self.dispatcher.services.keys().cloned().collect();
+        for name in names {
+            while self.pump(&name) {}
+        }
+    }
+
+    fn pump(&mut self, name: &Name) -> bool {
+        let waiting = self.dispatcher.services.get(name).map_or(0, |s| s.waiting);
+        if waiting == 0 {
+            return false;
+        }
+        let Some(executor) = self.dispatcher.free_executor(name, self.now) else {
+            return false;
+        };
+        let Some(team) = self.next_team(name) else {
+            return false;
+        };
+        let share = self.share_of(&team);
+        let Some(service) = self.dispatcher.services.get_mut(name) else {
+            return false;
+        };
+        let Some(line) = service.lines.get_mut(&team) else {
+            return false;
+        };
+        let Some(waiting) = line.waiting.pop_front() else {
+            return false;
+        };
+        service.waiting -= 1;
+        service.virtual_time = service.virtual_time.max(line.virtual_time);
+        line.virtual_time += service.mean_ms / share;
+        let charged = service.mean_ms;
+        self.run(waiting, executor, charged);
+        true
+    }
+
+    /// The waiting team with the least weighted slot time, within limits.
+    fn next_team(&self, name: &Name) -> Option<Name> {
+        let service = self.dispatcher.services.get(name)?;
+        let mut best: Option<(f64, &Name)> = None;
+        for (team, line) in &service.lines {
+            if line.waiting.is_empty() || !self.may_hold_slot(team) {
+                continue;
+            }
+            if best.is_none_or(|(b, _)| line.virtual_time < b) {
+                best = Some((line.virtual_time, team));
+            }
+        }
+        best.map(|(_, team)| team.clone())
+    }
+
+    fn run(&mut self, waiting: Waiting, executor: usize, charged: f64) {
+        self.dispatcher.next_run += 1;
+        let id = self.dispatcher.next_run;
+        let entry = &mut self.dispatcher.executors[executor];
+        entry.busy += 1;
+        let team = waiting.serve.team.clone();
+        *self.dispatcher.held.entry(team.clone()).or_default() += 1;
+        let wait = self.now.saturating_sub(waiting.arrived);
+        self.out.push(Effect::Record {
+            measure: Measure::RequestWait,
+            team: team.clone(),
+            value: wait.as_millis() as u64,
+        });
+        self.out.push(Effect::Execute(Box::new(Execute {
+            id,
+            address: entry.address.clone(),
+            team,
+            queue: waiting.serve.queue.clone(),
+            body: waiting.serve.body.clone(),
+            timeout: waiting.deadline.saturating_sub(self.now),
+        })));
+        self.dispatcher.runs.insert(
+            id,
+            Run {
+                waiting,
+                executor,
+                started: self.now,
+                charged,
+            },
+        );
+    }
+
+    /// An executor's answer, matched to its run by id.
+    pub(crate) fn executed(&mut self, id: u64, result: Result<Whole, ExecuteFault>) {
+        let Some(run) = self.dispatcher.runs.remove(&id) else {
+            return;
+        };
+        let team = run.waiting.serve.team.clone();
+        self.correct_charge(&run, &team);
+        match result {
+            Ok(whole) => {
+                self.free_slot(run.executor, &team);
+                let answer = Answer::Done {
+                    status: whole.status,
+                    body: whole.body,
+                };
+                self.answer_origin(&run.waiting.origin, run.waiting.serve.id, answer);
+            }
+            Err(ExecuteFault::NotRun) => {
+                self.free_slot(run.executor, &team);
+                self.avoid(run.executor);
+                self.run_again(run.waiting);
+            }
+            Err(ExecuteFault::Lost) => {
+                self.avoid(run.executor);
+                let until = run.waiting.deadline.max(self.now);
+                let ghost = (until, id, run.executor, team);
+                self.dispatcher.ghosts.insert(ghost);
+                let (origin, id) = (&run.waiting.origin, run.waiting.serve.id);
+                self.answer_origin(origin, id, Answer::Unknown);
+            }
+        }
+    }
+
+    /// Corrects a team's virtual time from the guessed to the real length.
+    fn correct_charge(&mut self, run: &Run, team: &Name) {
+        let share = self.share_of(team);
+        let ran_ms = self.now.saturating_sub(run.started).as_secs_f64() * 1_000.0;
+        let service = self.dispatcher.services.get_mut(&run.waiting.serve.service);
+        let Some(service) = service else {
+            return;
+        };
+        service.mean_ms += GAIN * (ran_ms - service.mean_ms);
+        if let Some(line) = service.lines.get_mut(team) {
+            line.virtual_time += (ran_ms - run.charged) / share;
+        }
+    }
+
+    fn run_again(&mut self, mut waiting: Waiting) {
+        waiting.runs += 1;
+        if waiting.runs < MAX_RUNS && waiting.deadline > self.now {
+            return self.enqueue(waiting, true);
+        }
+        let refusal = Refusal::after(Reason::NoBackend, Duration::from_secs(1));
+        let (origin, id) = (waiting.origin.clone(), waiting.serve.id);
+        self.answer_origin(&origin, id, Answer::Refused(refusal));
+    }
+
+    fn avoid(&mut self, executor: usize) {
+        self.dispatcher.executors[executor].avoid_until = self.now + AVOID_TIME;
+    }
+
+    fn free_slot(&mut self, executor: usize, team: &Name) {
+        let entry = &mut self.dispatcher.executors[executor];
+        entry.busy = entry.busy.saturating_sub(1);
+        let held = self.dispatcher.held.get_mut(team);
+        held.into_iter().for_each(|n| *n = n.saturating_sub(1));
+    }
+
+    fn answer_origin(&mut self, origin: &Name, id: u64, answer: Answer) {
+        match *origin == self.settings.identity.name {
+            true => self.served(id, &origin.clone(), answer),
+            false => self.send(origin, Frame::Served { id, answer }),
+        }
+    }
+
+    /// Drops a request that still waits.
+    pub(crate) fn drop_waiting(&mut self, id: u64) {
+        for service in self.dispatcher.services.values_mut() {
+            for line in service.lines.values_mut() {
+                let before = line.waiting.len();
+                line.waiting.retain(|w| w.serve.id != id);
+                service.waiting -= (before - line.waiting.len()) as u32;
+            }
+        }
+    }
+
+    /// Refuses requests whose deadline passed before they were sent, and
+    /// frees slots of runs that must have ended.
+    pub(crate) fn tick_dispatcher(&mut self) {
+        let now = self.now;
+        let mut late: Vec<(Name, u64)> = Vec::new();
+        for service in self.dispatcher.services.values_mut() {
+            for line in service.lines.values_mut() {
+                let before = line.waiting.len();
+                line.waiting.retain(|w| {
+                    let over = w.deadline <= now;
+                    if over {
+                        late.push((w.origin.clone(), w.serve.id));
+                    }
+                    !over
+                });
+                service.waiting -= (before - line.waiting.len()) as u32;
+            }
+        }
+        let refusal = Refusal::after(Reason::Expired, Duration::from_secs(1));
+        for (origin, id) in late {
+            self.answer_origin(&origin, id, Answer::Refused(refusal));
+        }
+        while let Some(ghost) = self.dispatcher.ghosts.first().cloned() {
+            if ghost.0 > now {
+                break;
+            }
+            self.free_slot(ghost.2, &ghost.3);
+            self.dispatcher.ghosts.remove(&ghost);
+        }
+    }
+
+    /// Refuses everything that waits, when ownership is lost.
+    pub(crate) fn refuse_waiting(&mut self) {
+        let mut all: Vec<(Name, u64)> = Vec::new();
+        for service in self.dispatcher.services.values_mut() {
+            for line in service.lines.values_mut() {
+                all.extend(line.waiting.drain(..).map(|w| (w.origin, w.serve.id)));
+            }
+            service.waiting = 0;
+        }
+        let refusal = Refusal::after(Reason::NoBackend, Duration::from_secs(1));
+        for (origin, id) in all {
+            self.answer_origin(&origin, id, Answer::Refused(refusal));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,34 @@
+//! The reducer of one entry VM.
+//!
+//! `Node::step` takes one event and the time and appends effects; it has no
+//! clock, randomness source, I/O or threads of its own.
+//!
+//! Invariant: every promise is kept by what `step` decides, given only what
+//! `docs/INTERFACES.md` asks of the edges; no effect has to succeed for it.
+
+pub(crate) mod allotment;
+pub(crate) mod calls;
+pub(crate) mod configuration;
+pub(crate) mod dispatch;
+pub(crate) mod event;
+pub(crate) mod gateway;
+pub(crate) mod jobs;
+pub(crate) mod membership;
+pub(crate) mod node;
+pub(crate) mod notice;
+pub(crate) mod owner;
+pub(crate) mod relay;
+pub(crate) mod settings;
+pub(crate) mod store;
+pub(crate) mod submit;
+pub(crate) mod verify;
+
+pub use event::{
+    Ask, CallerId, Effect, Event, Execute, ExecuteFault, Fleet, Measure, Peer, Reply, Tables,
+    Whole, WorkerFault,
+};
+pub use node::Node;
+pub use notice::Notice;
+pub use settings::{Identity, Settings, Timing};
+pub use store::Answered;
+pub use verify::Violation;
--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,340 @@
+//! The node's state and the dispatch of events.
+//!
+//! Invariant: an event is handled with the time at which it is handled, not
+//! the time at which it arose, so a pause is always seen as time passed.
+
+use std::time::Duration;
+
+use model::{Fault, Life, Name, Role, Vm};
+use wire::Frame;
+
+use crate::configuration::Configuration;
+use crate::dispatch::Dispatcher;
+use crate::event::{Ask, CallerId, Effect, Event, Fleet, Reply};
+use crate::gateway::Gateway;
+use crate::membership::Members;
+use crate::notice::Notice;
+use crate::owner::Owner;
+use crate::settings::Settings;
+use crate::store::{Answered, Purpose, Store};
+
+/// Gap between events that is reported as a pause.
+const PAUSE: Duration = Duration::from_millis(1_500);
+/// Time between readiness turning false and the first refusal.
+pub(crate) const DRAIN_GRACE: Duration = Duration::from_millis(1_000);
+/// Longest graceful shutdown.
+const DRAIN_MAX: Duration = Duration::from_secs(30);
+
+/// The reducer of one entry VM.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) now: Duration,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) store: Store,
+    pub(crate) members: Members,
+    pub(crate) configuration: Configuration,
+    pub(crate) gateway: Gateway,
+    pub(crate) owner: Owner,
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) out: Vec<Effect>,
+    pub(crate) draining_since: Option<Duration>,
+    store_was_down: bool,
+    next_vms: Duration,
+    next_poll: Duration,
+    exited: bool,
+}
+
+impl Node {
+    /// A node that knows nothing but its settings.
+    #[must_use]
+    pub fn new(settings: Settings, seed: u64, now: Duration) -> Self {
+        Self {
+            members: Members::new(&settings.peers),
+            store: Store::new(settings.store_writes_per_second),
+            configuration: Configuration::default(),
+            gateway: Gateway::default(),
+            owner: Owner::new(settings.identity.data_centre.clone(), now),
+            dispatcher: Dispatcher::default(),
+            rng: fastrand::Rng::with_seed(seed),
+            now,
+            out: Vec::new(),
+            draining_since: None,
+            store_was_down: false,
+            next_vms: now,
+            next_poll: now,
+            exited: false,
+            settings,
+        }
+    }
+
+    /// True when the platform's balancer may send callers here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.draining_since.is_none() && self.configuration.config.version > 0
+    }
+
+    /// Handles one event at `now` and appends what is to be done to `out`.
+    pub fn step(&mut self, event: Event, now: Duration, out: &mut Vec<Effect>) {
+        std::mem::swap(&mut self.out, out);
+        let gap = now.saturating_sub(self.now);
+        self.now = self.now.max(now);
+        if gap > PAUSE {
+            self.log(Notice::Woke(gap.as_millis() as u64));
+        }
+        self.handle(event);
+        self.place();
+        self.pump_all();
+        self.flush();
+        std::mem::swap(&mut self.out, out);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick => self.tick(),
+            Event::Ask { caller, ask } => self.ask(caller, ask),
+            Event::CallerGone { caller } => self.caller_gone(caller),
+            Event::Frame { from, frame } => self.frame(&from, frame),
+            Event::Unsent { to, frame } => self.unsent(&to, frame),
+            Event::Table { id, result } => self.table(id, result),
+            Event::Worker { id, result } => self.worker_answered(id, result),
+            Event::Executed { id, result } => self.executed(id, result),
+            Event::Vms(Some(vms)) => self.learn_vms(&vms),
+            Event::Vms(None) => {}
+            Event::Shutdown => self.shutdown(),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.beat();
+        self.watch_peers();
+        self.watch_keys();
+        if self.now >= self.next_poll {
+            self.next_poll = self.now + self.settings.timing.poll;
+            self.poll();
+        }
+        if self.now >= self.next_vms {
+            self.next_vms = self.now + self.settings.timing.vm_list;
+            self.out.push(Effect::ListVms);
+        }
+        self.tick_changes();
+        self.tick_gateway();
+        self.tick_dispatcher();
+        self.tick_owner();
+        self.tick_drain();
+    }
+
+    fn ask(&mut self, caller: CallerId, ask: Ask) {
+        match ask {
+            Ask::Request {
+                queue,
+                key,
+                idempotency,
+                body,
+                budget,
+            } => self.ask_request(caller, queue, key, idempotency, body, budget),
+            Ask::Submit {
+                queue,
+                key,
+                idempotency,
+                spec,
+            } => self.ask_submit(caller, queue, key, idempotency, spec),
+            Ask::Job { key, job, query } => self.ask_job(caller, key, job, query),
+            Ask::Change { change, expect } => self.ask_change(caller, change, expect),
+            Ask::Config => {
+                let config = Box::new(self.configuration.config.clone());
+                self.reply(caller, Reply::Config(config));
+            }
+            Ask::Fleet => {
+                let fleet = Box::new(self.fleet());
+                self.reply(caller, Reply::Fleet(fleet));
+            }
+        }
+    }
+
+    fn frame(&mut self, from: &Name, frame: Frame) {
+        match frame {
+            Frame::Beat(beat) => self.on_beat(from, beat),
+            Frame::PullConfig => {
+                let config = Box::new(self.configuration.config.clone());
+                self.send(from, Frame::Config(config));
+            }
+            Frame::Config(config) => self.install(*config),
+            Frame::Serve(serve) => self.serve_from(from, serve),
+            Frame::Served { id, answer } => self.served(id, from, answer),
+            Frame::Drop { id } => self.drop_waiting(id),
+            Frame::Submitted(job) => self.learn_job(*job),
+            Frame::Ask {
+                id,
+                team,
+                job,
+                query,
+            } => self.asked(from, id, &team, &job, query),
+            Frame::Told { id, status } => self.told(id, status),
+            Frame::Released { data_centre } if data_centre == self.owner.data_centre => {
+                self.next_poll = self.now;
+            }
+            Frame::Released { .. } => {}
+        }
+    }
+
+    fn unsent(&mut self, to: &Name, frame: Frame) {
+        match frame {
+            Frame::Serve(serve) => self.serve_unsent(serve.id, to),
+            Frame::Ask { id, .. } => self.ask_unsent(id),
+            _ => {}
+        }
+    }
+
+    fn table(&mut self, id: u64, result: Result<Answered, Fault>) {
+        for (purpose, result, sent) in self.store.answered(id, result, self.now) {
+            self.table_answered(purpose, result, sent);
+        }
+        self.watch_store();
+    }
+
+    fn table_answered(
+        &mut self,
+        purpose: Purpose,
+        result: Result<Answered, Fault>,
+        sent: Duration,
+    ) {
+        match purpose {
+            Purpose::Poll => self.polled(result, sent),
+            Purpose::Change => self.change_written(result),
+            Purpose::ChangeCheck => self.change_read(result),
+            Purpose::Claim(id) => self.claim_written(id, result),
+            Purpose::ClaimCheck(id) => self.claim_read(id, result),
+            Purpose::Outcome(id) => self.outcome_written(id, &result),
+            Purpose::Accept(id) => self.accept_written(id, result),
+            Purpose::AcceptCheck(id) => self.accept_read(id, result),
+            Purpose::Take(dc) if dc == self.owner.data_centre => self.take_written(result),
+            Purpose::Release(dc) if dc == self.owner.data_centre => self.release_written(&result),
+            Purpose::Take(_) | Purpose::Release(_) => {}
+            Purpose::Jobs(_) => self.jobs_scanned(result),
+            Purpose::Save(job) => self.save_written(&job, &result),
+            Purpose::Allotments(_) => self.allotments_scanned(result),
+            Purpose::Allot(_, team) => self.allot_written(&team, &result),
+        }
+    }
+
+    fn flush(&mut self) {
+        let expired = self.store.flush(self.now, &mut self.out);
+        for purpose in expired {
+            self.table_answered(purpose, Err(Fault::Unavailable), self.now);
+        }
+    }
+
+    fn watch_store(&mut self) {
+        let down = self.store.is_down();
+        if down != self.store_was_down {
+            self.store_was_down = down;
+            self.log(if down {
+                Notice::StoreDown
+            } else {
+                Notice::StoreUp
+            });
+        }
+    }
+
+    pub(crate) fn poll(&mut self) {
+        if self.store.has(&Purpose::Poll) {
+            return;
+        }
+        let rows = vec![
+            (Name::from("config"), self.configuration.row),
+            (self.owner.row_key(), 0),
+        ];
+        let read = crate::event::Tables::Read(rows);
+        let effect = self.store.read(read, Purpose::Poll, self.now);
+        self.out.push(effect);
+    }
+
+    fn polled(&mut self, result: Result<Answered, Fault>, sent: Duration) {
+        let Ok(Answered::Rows(rows)) = result else {
+            return;
+        };
+        for (key, cell) in rows {
+            match key.as_str() {
+                "config" => self.config_polled(cell, sent),
+                _ if key == self.owner.row_key() => self.owner_polled(cell, sent),
+                _ => {}
+            }
+        }
+    }
+
+    fn learn_vms(&mut self, vms: &[Vm]) {
+        for vm in vms.iter().filter(|vm| vm.role == Role::Entry) {
+            self.members.set_gone(&vm.name, vm.life == Life::Gone);
+        }
+        let here = self.owner.data_centre.clone();
+        for vm in vms.iter().filter(|v| v.role == Role::Worker) {
+            if vm.data_centre == here {
+                self.learn_worker(vm);
+                self.learn_executor(vm);
+            }
+        }
+    }
+
+    fn shutdown(&mut self) {
+        if self.draining_since.is_none() {
+            self.draining_since = Some(self.now);
+            self.log(Notice::ShuttingDown);
+        }
+    }
+
+    /// True once new work is refused because of a shutdown.
+    pub(crate) fn refuses_work(&self) -> bool {
+        self.draining_since
+            .is_some_and(|since| self.now >= since + DRAIN_GRACE)
+    }
+
+    fn tick_drain(&mut self) {
+        let Some(since) = self.draining_since.filter(|_| !self.exited) else {
+            return;
+        };
+        if !self.refuses_work() {
+            return;
+        }
+        let idle = self.dispatcher.is_idle();
+        if idle {
+            self.release();
+        }
+        let done = idle && self.gateway.is_idle() && self.owner.is_idle();
+        if done || self.now >= since + DRAIN_MAX {
+            self.exited = true;
+            self.log(Notice::Stopped);
+            self.out.push(Effect::Exit);
+        }
+    }
+
+    fn fleet(&mut self) -> Fleet {
+        Fleet {
+            name: self.settings.identity.name.clone(),
+            config: self.configuration.config.version,
+            preset: self.configuration.config.in_force.clone(),
+            keys_verifiable: self.keys_verifiable(),
+            store_up: !self.store.is_down(),
+            owner: self.owner.is_active(),
+            peers: self.members.view(),
+            loads: self.loads(),
+            workers: self.owner.view(),
+            teams: self.team_view(),
+        }
+    }
+
+    pub(crate) fn reply(&mut self, caller: CallerId, reply: Reply) {
+        self.out.push(Effect::Reply { caller, reply });
+    }
+
+    pub(crate) fn send(&mut self, to: &Name, frame: Frame) {
+        self.out.push(Effect::Send {
+            to: to.clone(),
+            frame,
+        });
+    }
+
+    pub(crate) fn log(&mut self, notice: Notice) {
+        self.out.push(Effect::Log(notice));
+    }
+}
--- /dev/null
+++ b/crates/control/src/owner.rs
@@ -0,0 +1,585 @@
+//! Ownership of a data centre's workers: taking it, confirming it, losing it.
+//!
+//! The table service orders epochs; the workers are the witnesses. An owner
+//! acts while, within `owner_lease`, the store or a majority of the workers
+//! has confirmed its epoch. A successor commits the next epoch, claims a
+//! majority of the workers and, unless all of them accepted the claim, waits
+//! until the lease of its predecessor is over. Majorities overlap, so two
+//! nodes never both act.
+//!
+//! Invariant: at most one node acts for a data centre at any time; tasks that
+//! may still run on unreachable workers are withheld until they have surely
+//! ended.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use model::{Cell, Condition, Epoch, Fault, Life, Name, Resources, TaskIndex, Transaction, Vm};
+use policy::{Engine, JobRef, Settings as PolicySettings, State, TeamId};
+use serde::{Deserialize, Serialize};
+use wire::{Frame, Load};
+
+use crate::allotment::Allotments;
+use crate::calls::{Backend, Contact};
+use crate::event::TeamUse;
+use crate::jobs::Jobs;
+use crate::node::Node;
+use crate::notice::Notice;
+use crate::store::{Answered, Purpose, version_of};
+use crate::submit::row;
+
+/// Most placement decisions in one step.
+const MAX_DECISIONS: usize = 256;
+/// Time allowed for the commit of an epoch.
+const TAKE_TIME: Duration = Duration::from_secs(3);
+/// Time for which a survey of workers is awaited.
+const SURVEY_TIME: Duration = Duration::from_millis(1_200);
+/// Bits of an attempt number below the epoch.
+const EPOCH_SHIFT: u32 = 20;
+
+/// Row of a data centre's ownership.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Record {
+    pub(crate) epoch: Epoch,
+    pub(crate) holder: Name,
+    /// True when the holder has stopped acting by itself.
+    pub(crate) released: bool,
+}
+
+/// What this node is to its data centre.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Tenure {
+    /// Not the owner.
+    Idle,
+    /// Asks workers whether the silent holder still calls them.
+    Surveying { until: Duration },
+    /// Commits the next epoch.
+    Taking,
+    /// Epoch committed; claims workers and learns what runs.
+    Claiming { since: Duration },
+    /// Owner.
+    Active,
+    /// Gives the epoch up.
+    Releasing,
+    /// Gave the epoch up.
+    Released,
+}
+
+/// Ownership state.
+#[derive(Debug)]
+pub(crate) struct Owner {
+    pub(crate) data_centre: Name,
+    pub(crate) tenure: Tenure,
+    pub(crate) record: Record,
+    pub(crate) row: u64,
+    pub(crate) store_confirmed: Option<Duration>,
+    pub(crate) engine: Engine,
+    pub(crate) workers: Vec<Backend>,
+    pub(crate) contacts: BTreeMap<u64, Contact>,
+    pub(crate) next_call: u64,
+    pub(crate) jobs: Jobs,
+    pub(crate) allotments: Allotments,
+    pub(crate) teams: Vec<Name>,
+    pub(crate) racks: Vec<Name>,
+    /// Tasks of earlier epochs whose fate is not known yet.
+    pub(crate) withheld: Vec<(JobRef, TaskIndex)>,
+    pub(crate) uncertain_until: Option<Duration>,
+    pub(crate) confirmed: bool,
+    record_seen: Option<Duration>,
+    started: Duration,
+}
+
+impl Owner {
+    pub(crate) fn new(data_centre: Name, now: Duration) -> Self {
+        Self {
+            data_centre,
+            tenure: Tenure::Idle,
+            record: Record::default(),
+            row: 0,
+            store_confirmed: None,
+            engine: Engine::new(PolicySettings::from(&model::Preset::default())),
+            workers: Vec::new(),
+            contacts: BTreeMap::new(),
+            next_call: 0,
+            jobs: Jobs::default(),
+            allotments: Allotments::default(),
+            teams: Vec::new(),
+            racks: Vec::new(),
+            withheld: Vec::new(),
+            uncertain_until: None,
+            confirmed: false,
+            record_seen: None,
+            started: now,
+        }
+    }
+
+    /// Key of the ownership row.
+    pub(crate) fn row_key(&self) -> Name {
+        compact_str::format_compact!("owner/{}", self.data_centre)
+    }
+
+    pub(crate) fn is_active(&self) -> bool {
+        self.tenure == Tenure::Active
+    }
+
+    /// True while this node holds an epoch, active or not yet.
+    pub(crate) fn holds_epoch(&self) -> bool {
+        matches!(self.tenure, Tenure::Active | Tenure::Claiming { .. })
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        matches!(self.tenure, Tenure::Idle | Tenure::Released)
+    }
+
+    /// First attempt number of this epoch.
+    pub(crate) fn first_attempt(&self) -> u64 {
+        self.record.epoch << EPOCH_SHIFT
+    }
+
+    /// True when only this owner's row version allows a write.
+    pub(crate) fn guard(&self) -> Condition {
+        Condition {
+            key: self.row_key(),
+            version: self.row,
+        }
+    }
+
+    /// Number of workers that count for a majority, and how many of them
+    /// confirmed this epoch since `since`.
+    fn witnesses(&self, since: Duration) -> (usize, usize) {
+        let listed = || self.workers.iter().filter(|w| w.life != Life::Gone);
+        let fresh = |w: &&Backend| w.confirmed.is_some_and(|at| at >= since);
+        (listed().count(), listed().filter(fresh).count())
+    }
+
+    fn has_majority(&self, since: Duration) -> bool {
+        let (listed, confirmed) = self.witnesses(since);
+        confirmed * 2 > listed
+    }
+
+    /// Dense id of a team, made on first use.
+    pub(crate) fn team_id(&mut self, team: &Name) -> TeamId {
+        if let Some(at) = self.teams.iter().position(|t| t == team) {
+            return at as TeamId;
+        }
+        self.teams.push(team.clone());
+        self.engine.add_team(1)
+    }
+
+    pub(crate) fn rack_id(&mut self, rack: &Name) -> u16 {
+        if let Some(at) = self.racks.iter().position(|r| r == rack) {
+            return at as u16;
+        }
+        self.racks.push(rack.clone());
+        (self.racks.len() - 1) as u16
+    }
+
+    pub(crate) fn view(&self) -> Vec<crate::event::Backend> {
+        if !self.is_active() {
+            return Vec::new();
+        }
+        let view = |w: &Backend| crate::event::Backend {
+            name: w.name.clone(),
+            free: self.engine.free(w.id),
+            running: self.engine.tasks_on(w.id) as u32,
+            reachable: w.misses == 0,
+        };
+        self.workers.iter().map(view).collect()
+    }
+}
+
+impl Node {
+    /// True while this node may place work and renew leases.
+    pub(crate) fn may_act(&self) -> bool {
+        let owner = &self.owner;
+        let lease = self.settings.timing.owner_lease;
+        let since = self.now.saturating_sub(lease);
+        let by_store = owner.store_confirmed.is_some_and(|at| at >= since);
+        owner.is_active() && (by_store || owner.has_majority(since))
+    }
+
+    pub(crate) fn owner_polled(&mut self, cell: Option<Cell>, sent: Duration) {
+        let cell = cell.unwrap_or_default();
+        if cell.version < self.owner.row {
+            return;
+        }
+        let record = match cell.version {
+            0 => Record::default(),
+            _ => match postcard::from_bytes::<Record>(&cell.value) {
+                Ok(record) => record,
+                Err(_) => return self.log(Notice::JobMalformed(self.owner.row_key())),
+            },
+        };
+        let mine = record.holder == self.settings.identity.name && cell.version == self.owner.row;
+        match mine && self.owner.holds_epoch() {
+            true => self.owner.store_confirmed = Some(sent),
+            false => self.others_record(record, cell.version),
+        }
+    }
+
+    /// Takes note of a record that this process did not write.
+    fn others_record(&mut self, record: Record, version: u64) {
+        if self.owner.holds_epoch() {
+            self.step_down();
+        }
+        if matches!(self.owner.tenure, Tenure::Releasing | Tenure::Released) {
+            return;
+        }
+        self.owner.record = record;
+        self.owner.row = version;
+        self.owner.record_seen = Some(self.now);
+        self.consider_takeover();
+    }
+
+    /// Starts a takeover when the recorded holder seems to be gone.
+    fn consider_takeover(&mut self) {
+        if self.owner.tenure != Tenure::Idle || self.draining_since.is_some() {
+            return;
+        }
+        let bound = self.settings.timing.peer_silent;
+        let listened = self.now >= self.owner.started + bound + self.settings.timing.beat;
+        let record = &self.owner.record;
+        let me = record.holder == self.settings.identity.name;
+        match record {
+            r if r.epoch == 0 || r.released => self.take(),
+            r if self.members.is_alive(&r.holder) => {}
+            // A process of the same name has been replaced by this one.
+            _ if me => self.take(),
+            _ if listened => self.survey(),
+            _ => {}
+        }
+    }
+
+    fn survey(&mut self) {
+        let until = self.now + SURVEY_TIME;
+        self.owner.tenure = Tenure::Surveying { until };
+        for worker in &mut self.owner.workers {
+            worker.holder_seen = None;
+            worker.next_call = self.now;
+        }
+    }
+
+    /// True when a worker says that the recorded holder calls it.
+    fn holder_is_calling(&self) -> bool {
+        let bound = self.settings.timing.peer_silent.as_millis() as u64;
+        let record = &self.owner.record;
+        let mut seen = self
+            .owner
+            .workers
+            .iter()
+            .filter_map(|w| w.holder_seen.as_ref());
+        seen.any(|(holder, epoch, ms)| {
+            *holder == record.holder && *epoch == record.epoch && *ms < bound
+        })
+    }
+
+    fn take(&mut self) {
+        if self.owner.workers.is_empty() {
+            return;
+        }
+        self.owner.tenure = Tenure::Taking;
+        let record = Record {
+            epoch: self.owner.record.epoch + 1,
+            holder: self.settings.identity.name.clone(),
+            released: false,
+        };
+        self.log(Notice::TakingOver(
+            self.owner.data_centre.clone(),
+            record.epoch,
+        ));
+        let transaction = Transaction {
+            conditions: vec![self.owner.guard()],
+            writes: vec![row(&self.owner.row_key(), &record)],
+        };
+        let purpose = Purpose::Take(self.owner.data_centre.clone());
+        let deadline = self.now + TAKE_TIME;
+        if !self.store.write(transaction, purpose, deadline) {
+            self.owner.tenure = Tenure::Idle;
+        }
+    }
+
+    pub(crate) fn take_written(&mut self, result: Result<Answered, Fault>) {
+        if self.owner.tenure != Tenure::Taking {
+            return;
+        }
+        match result {
+            Ok(answered) => {
+                self.owner.row = version_of(&answered);
+                self.owner.record.epoch += 1;
+                self.owner.record.released = false;
+                self.owner.record.holder = self.settings.identity.name.clone();
+                self.begin_claim();
+            }
+            // If the write took effect, the next poll shows this node's name
+            // in a row version that it does not know, and it takes the epoch
+            // after that one.
+            Err(_) => self.owner.tenure = Tenure::Idle,
+        }
+    }
+
+    fn begin_claim(&mut self) {
+        let first = self.owner.record.epoch == 1;
+        let wait = self.settings.timing.owner_lease + self.settings.timing.surely_lapsed();
+        self.owner.tenure = Tenure::Claiming { since: self.now };
+        self.owner.store_confirmed = Some(self.now);
+        self.owner.uncertain_until = (!first).then_some(self.now + wait);
+        self.owner.confirmed = true;
+        self.reset_engine();
+        for worker in &mut self.owner.workers {
+            worker.begin_epoch(self.now);
+        }
+        self.scan_jobs();
+        self.scan_allotments();
+    }
+
+    /// Forgets what an earlier epoch knew.
+    fn reset_engine(&mut self) {
+        let preset = self.configuration.config.preset();
+        let owner = &mut self.owner;
+        owner.engine = Engine::new(PolicySettings::from(&preset));
+        owner.teams.clear();
+        owner.jobs = Jobs::default();
+        owner.withheld.clear();
+        owner.contacts.clear();
+        owner.allotments = Allotments::default();
+        for at in 0..owner.workers.len() {
+            let rack = owner.rack_id(&owner.workers[at].rack.clone());
+            let id = owner.engine.add_worker(owner.workers[at].capacity, rack);
+            owner.engine.set_worker(id, State::Lost);
+            owner.workers[at].id = id;
+        }
+        self.apply_config();
+    }
+
+    /// Brings team weights, allotments and the preset into the engine.
+    pub(crate) fn apply_config(&mut self) {
+        let preset = self.configuration.config.preset();
+        self.owner.engine.configure(PolicySettings::from(&preset));
+        let teams: Vec<Name> = self.configuration.config.teams.keys().cloned().collect();
+        for team in teams {
+            self.apply_team(&team);
+        }
+    }
+
+    /// Brings one team's weight and allotment into the engine.
+    pub(crate) fn apply_team(&mut self, team: &Name) {
+        let share = self
+            .configuration
+            .config
+            .teams
+            .get(team)
+            .map_or(1, |t| t.share);
+        let allotment = self.allotment_of(team);
+        let id = self.owner.team_id(team);
+        self.owner.engine.set_team(id, share, allotment);
+    }
+
+    /// Moves the tenure on as time passes.
+    pub(crate) fn tick_owner(&mut self) {
+        match self.owner.tenure {
+            Tenure::Surveying { until } if until <= self.now => {
+                self.owner.tenure = Tenure::Idle;
+                let back = self.members.is_alive(&self.owner.record.holder);
+                if !back && !self.holder_is_calling() {
+                    self.take();
+                }
+            }
+            Tenure::Claiming { since } => self.consider_activation(since),
+            Tenure::Active => self.watch_confirmation(),
+            _ => {}
+        }
+        self.settle_uncertainty();
+        self.tick_workers();
+        self.tick_jobs();
+        self.tick_allotments();
+    }
+
+    /// Becomes active once the workers' state is known well enough.
+    fn consider_activation(&mut self, since: Duration) {
+        if !self.owner.jobs.loaded || !self.owner.allotments.loaded {
+            return;
+        }
+        let timing = &self.settings.timing;
+        let (listed, claimed) = self.owner.witnesses(since);
+        let waited = self.now >= since + timing.owner_lease + timing.margin;
+        let first = self.owner.record.epoch == 1;
+        if claimed == listed || ((first || waited) && claimed * 2 > listed) {
+            self.owner.tenure = Tenure::Active;
+            self.log(Notice::Owner(
+                self.owner.data_centre.clone(),
+                self.owner.record.epoch,
+            ));
+            self.settle_uncertainty();
+        }
+    }
+
+    /// Ends the withholding of tasks once nothing of an earlier epoch runs
+    /// unseen.
+    fn settle_uncertainty(&mut self) {
+        let Some(until) = self.owner.uncertain_until else {
+            return;
+        };
+        let since = match self.owner.tenure {
+            Tenure::Claiming { since } => since,
+            Tenure::Active => Duration::ZERO,
+            _ => return,
+        };
+        let claimed = |w: &Backend| w.life == Life::Gone || w.claimed;
+        let all = since == Duration::ZERO && self.owner.workers.iter().all(claimed);
+        if !all && until > self.now {
+            return;
+        }
+        self.owner.uncertain_until = None;
+        let first = self.owner.first_attempt();
+        for (job, task) in std::mem::take(&mut self.owner.withheld) {
+            self.owner.engine.put_back(job, task, first);
+        }
+        self.apply_config();
+    }
+
+    /// Notices that the owner's lease is not confirmed, or is again.
+    fn watch_confirmation(&mut self) {
+        let confirmed = self.may_act();
+        if self.owner.confirmed && !confirmed {
+            self.log(Notice::Unconfirmed(self.owner.data_centre.clone()));
+        }
+        self.owner.confirmed = confirmed;
+    }
+
+    /// Gives way to a later epoch.
+    pub(crate) fn step_down(&mut self) {
+        self.log(Notice::Superseded(
+            self.owner.data_centre.clone(),
+            self.owner.record.epoch,
+        ));
+        self.owner.tenure = Tenure::Idle;
+        self.owner.contacts.clear();
+        self.refuse_waiting();
+    }
+
+    /// Gives the epoch up during a shutdown, once.
+    pub(crate) fn release(&mut self) {
+        match self.owner.tenure {
+            Tenure::Active => {}
+            Tenure::Releasing | Tenure::Released => return,
+            _ => {
+                self.owner.tenure = Tenure::Released;
+                return;
+            }
+        }
+        if !self.owner.contacts.is_empty() || !self.owner.jobs.is_saved() {
+            return;
+        }
+        self.owner.tenure = Tenure::Releasing;
+        let record = Record {
+            released: true,
+            ..self.owner.record.clone()
+        };
+        let transaction = Transaction {
+            conditions: vec![self.owner.guard()],
+            writes: vec![row(&self.owner.row_key(), &record)],
+        };
+        let purpose = Purpose::Release(self.owner.data_centre.clone());
+        let deadline = self.now + TAKE_TIME;
+        self.store.write(transaction, purpose, deadline);
+    }
+
+    pub(crate) fn release_written(&mut self, _result: &Result<Answered, Fault>) {
+        self.owner.tenure = Tenure::Released;
+        let data_centre = self.owner.data_centre.clone();
+        self.log(Notice::Released(
+            data_centre.clone(),
+            self.owner.record.epoch,
+        ));
+        let names: Vec<Name> = self
+            .members
+            .list
+            .iter()
+            .map(|m| m.identity.name.clone())
+            .collect();
+        for name in names {
+            let data_centre = data_centre.clone();
+            self.send(&name, Frame::Released { data_centre });
+        }
+    }
+
+    /// Takes a worker from the VM list.
+    pub(crate) fn learn_worker(&mut self, vm: &Vm) {
+        let holds = self.owner.holds_epoch();
+        let found = self.owner.workers.iter_mut().find(|w| w.name == vm.name);
+        if let Some(worker) = found {
+            worker.address = vm.address.clone();
+            if worker.life != vm.life {
+                worker.life = vm.life;
+                let id = worker.id;
+                if holds && vm.life != Life::Live && worker.claimed {
+                    self.owner.engine.set_worker(id, State::Leaving);
+                }
+            }
+            return;
+        }
+        let rack = self.owner.rack_id(&vm.rack);
+        let id = self.owner.engine.add_worker(vm.capacity, rack);
+        self.owner.engine.set_worker(id, State::Lost);
+        self.owner.workers.push(Backend::new(vm, id, self.now));
+    }
+
+    /// Places waiting work, if this node may.
+    pub(crate) fn place(&mut self) {
+        if !self.may_act() || self.refuses_work() {
+            return;
+        }
+        let mut decisions = std::mem::take(&mut self.owner.jobs.decisions);
+        let now_ms = self.now.as_millis() as u64;
+        self.owner
+            .engine
+            .place(now_ms, MAX_DECISIONS, &mut decisions);
+        for decision in decisions.drain(..) {
+            self.carry_out(decision);
+        }
+        self.owner.jobs.decisions = decisions;
+        self.send_orders();
+    }
+
+    /// The published load of this node's data centre, when it is the owner.
+    pub(crate) fn own_load(&self) -> Option<Load> {
+        if !self.owner.is_active() {
+            return None;
+        }
+        let mut load = Load {
+            data_centre: self.owner.data_centre.clone(),
+            epoch: self.owner.record.epoch,
+            services: self.dispatcher.loads(),
+            waiting_tasks: self.owner.engine.waiting_tasks(),
+            ..Load::default()
+        };
+        for worker in self.owner.workers.iter().filter(|w| w.claimed) {
+            load.total = load.total.plus(worker.capacity);
+            load.free = load.free.plus(self.owner.engine.free(worker.id));
+            load.largest = load.largest.max(worker.capacity);
+        }
+        Some(load)
+    }
+
+    pub(crate) fn team_view(&self) -> Vec<TeamUse> {
+        if !self.owner.is_active() {
+            return Vec::new();
+        }
+        let view = |(at, name): (usize, &Name)| {
+            let id = at as TeamId;
+            let slots = self.dispatcher.held_by(name);
+            let allotment = self.allotment_of(name);
+            TeamUse {
+                name: name.clone(),
+                used: self
+                    .owner
+                    .engine
+                    .used(id)
+                    .plus(Resources::of(0, 0, 0, slots)),
+                waiting: self.owner.engine.waiting(id),
+                allotment: Some(allotment).filter(|a| *a != Resources::UNLIMITED),
+            }
+        };
+        self.owner.teams.iter().enumerate().map(view).collect()
+    }
+}
--- /dev/null
+++ b/crates/control/src/store.rs
@@ -0,0 +1,232 @@
+//! Group commit of table writes within a budget, and matching of answers.
+//!
+//! Invariant: each queued transaction gets exactly one answer: the versions
+//! written, or a fault that says whether it may have taken effect. No more
+//! write calls leave per second than the budget allows.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use model::{Cell, Fault, Name, Row, Transaction};
+
+use crate::event::{Effect, Tables};
+
+/// Most transactions in one call.
+const BATCH: usize = 64;
+/// Most commit calls in flight.
+const IN_FLIGHT: usize = 4;
+/// Most transactions that wait for the store.
+const MAX_QUEUED: usize = 4_096;
+/// Write calls that may leave at once after a quiet time.
+const BURST: f64 = 4.0;
+
+/// A successful answer of the table service.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answered {
+    /// Rows asked for; `None` for an unchanged row.
+    Rows(Vec<(Name, Option<Cell>)>),
+    /// Rows of a scan and the store's version at that time.
+    Scanned(Vec<Row>, u64),
+    /// One result a transaction: the version given to its writes.
+    Committed(Vec<Result<u64, Fault>>),
+}
+
+/// What an answer is for.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Purpose {
+    /// Poll of the configuration and ownership rows.
+    Poll,
+    /// Creation or change of the configuration.
+    Change,
+    /// Reading back an unknown change.
+    ChangeCheck,
+    /// Claim of an idempotency key for a request.
+    Claim(u64),
+    /// Reading an existing claim.
+    ClaimCheck(u64),
+    /// Recording of an outcome; nobody waits for it.
+    Outcome(u64),
+    /// Acceptance of a job.
+    Accept(u64),
+    /// Reading the row of an earlier acceptance.
+    AcceptCheck(u64),
+    /// Taking an epoch.
+    Take(Name),
+    /// Giving an epoch up.
+    Release(Name),
+    /// Scan of jobs.
+    Jobs(Name),
+    /// Saving a job's progress.
+    Save(Name),
+    /// Scan of allotments.
+    Allotments(Name),
+    /// Moving an allotment.
+    Allot(Name, Name),
+}
+
+/// Calls to the table service.
+#[derive(Debug)]
+pub(crate) struct Store {
+    next: u64,
+    waiting: BTreeMap<u64, (Vec<Purpose>, Duration)>,
+    queue: VecDeque<(Transaction, Purpose, Duration)>,
+    commits: usize,
+    tokens: f64,
+    per_second: f64,
+    refilled: Duration,
+    pub(crate) last_ok: Option<Duration>,
+    faults: u32,
+}
+
+impl Store {
+    pub(crate) fn new(writes_per_second: u32) -> Self {
+        Self {
+            next: 0,
+            waiting: BTreeMap::new(),
+            queue: VecDeque::new(),
+            commits: 0,
+            tokens: BURST,
+            per_second: f64::from(writes_per_second.max(1)),
+            refilled: Duration::ZERO,
+            last_ok: None,
+            faults: 0,
+        }
+    }
+
+    /// True while the last calls failed.
+    pub(crate) fn is_down(&self) -> bool {
+        self.faults >= 2 || self.last_ok.is_none()
+    }
+
+    /// Sends a read at once.
+    pub(crate) fn read(&mut self, call: Tables, purpose: Purpose, now: Duration) -> Effect {
+        self.next += 1;
+        self.waiting.insert(self.next, (vec![purpose], now));
+        Effect::Table {
+            id: self.next,
+            call,
+        }
+    }
+
+    /// True when a read or write with this purpose is queued or in flight.
+    pub(crate) fn has(&self, purpose: &Purpose) -> bool {
+        self.queue.iter().any(|(_, p, _)| p == purpose)
+            || self.waiting.values().any(|(p, _)| p.contains(purpose))
+    }
+
+    /// Queues a write until `deadline`; false when the queue is full.
+    pub(crate) fn write(
+        &mut self,
+        transaction: Transaction,
+        purpose: Purpose,
+        deadline: Duration,
+    ) -> bool {
+        let room = self.queue.len() < MAX_QUEUED;
+        if room {
+            self.queue.push_back((transaction, purpose, deadline));
+        }
+        room
+    }
+
+    /// Sends queued writes as the budget allows, and returns the purposes
+    /// whose deadline passed in the queue.
+    pub(crate) fn flush(&mut self, now: Duration, out: &mut Vec<Effect>) -> Vec<Purpose> {
+        let passed = now.saturating_sub(self.refilled).as_secs_f64();
+        self.refilled = now;
+        self.tokens = (self.tokens + passed * self.per_second).min(BURST);
+        let expired = self.take_expired(now);
+        let most = if self.is_down() { 1 } else { IN_FLIGHT };
+        while !self.queue.is_empty() && self.commits < most && self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            self.commits += 1;
+            let count = self.queue.len().min(BATCH);
+            let (mut batch, mut purposes) = (Vec::new(), Vec::new());
+            for (transaction, purpose, _) in self.queue.drain(..count) {
+                batch.push(transaction);
+                purposes.push(purpose);
+            }
+            self.next += 1;
+            self.waiting.insert(self.next, (purposes, now));
+            out.push(Effect::Table {
+                id: self.next,
+                call: Tables::Commit(batch),
+            });
+        }
+        expired
+    }
+
+    fn take_expired(&mut self, now: Duration) -> Vec<Purpose> {
+        let mut expired = Vec::new();
+        self.queue.retain(|(_, purpose, deadline)| {
+            let over = *deadline <= now;
+            if over {
+                expired.push(purpose.clone());
+            }
+            !over
+        });
+        expired
+    }
+
+    /// Matches an answer to its purposes; the time is when the call was sent.
+    pub(crate) fn answered(
+        &mut self,
+        id: u64,
+        result: Result<Answered, Fault>,
+        now: Duration,
+    ) -> Vec<(Purpose, Result<Answered, Fault>, Duration)> {
+        let Some((purposes, sent)) = self.waiting.remove(&id) else {
+            return Vec::new();
+        };
+        match &result {
+            Ok(_) => {
+                self.last_ok = Some(now);
+                self.faults = 0;
+            }
+            Err(_) => self.faults = self.faults.saturating_add(1),
+        }
+        let is_commit = purposes.iter().any(Purpose::is_write);
+        if is_commit {
+            self.commits -= 1;
+        }
+        match result {
+            Ok(Answered::Committed(each)) if each.len() == purposes.len() => purposes
+                .into_iter()
+                .zip(each)
+                .map(|(p, r)| (p, r.map(|v| Answered::Committed(vec![Ok(v)])), sent))
+                .collect(),
+            // A commit whose answer does not match it may have taken effect.
+            Ok(_) if is_commit => purposes
+                .into_iter()
+                .map(|p| (p, Err(Fault::Unknown), sent))
+                .collect(),
+            other => purposes
+                .into_iter()
+                .map(|p| (p, other.clone(), sent))
+                .collect(),
+        }
+    }
+}
+
+impl Purpose {
+    const fn is_write(&self) -> bool {
+        matches!(
+            self,
+            Self::Change
+                | Self::Claim(_)
+                | Self::Outcome(_)
+                | Self::Accept(_)
+                | Self::Take(_)
+                | Self::Release(_)
+                | Self::Save(_)
+                | Self::Allot(..)
+        )
+    }
+}
+
+/// The version given by a committed transaction.
+pub(crate) fn version_of(answered: &Answered) -> u64 {
+    match answered {
+        Answered::Committed(each) => each.iter().flatten().copied().next().unwrap_or(0),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/model/src/config.rs
@@ -0,0 +1,314 @@
+//! The configuration that operators change: presets, teams, keys and queues.
+//!
+//! Invariant: a `Config` that `verify` accepts has exactly one preset in
+//! force, no key hash in two teams, and a positive share for every team.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Hash, Name, Resources, Work, key};
+
+/// Largest number of teams.
+pub const MAX_TEAMS: usize = 512;
+/// Largest number of queues.
+pub const MAX_QUEUES: usize = 512;
+/// Largest number of keys of one team.
+pub const MAX_KEYS: usize = 64;
+/// Change identifiers that a configuration remembers.
+const HISTORY: usize = 32;
+/// Largest length of a name in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// Order in which teams are offered free resources.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// Lowest weighted dominant share in use first.
+    #[default]
+    DominantShare,
+    /// Lowest weighted resource-time received first, with decay.
+    DecayedUsage,
+    /// Oldest job first, shares ignored.
+    Fifo,
+}
+
+/// The weights and bounds of one mode of operation.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Preset {
+    /// Order between teams.
+    pub order: Order,
+    /// Longest wait of a gang in ms before workers are reserved for it.
+    pub reserve_after_ms: u64,
+    /// Whether urgent work may preempt batch work.
+    pub preempt: bool,
+    /// Most requests waiting per team and queue before refusal.
+    pub max_waiting: u32,
+    /// Share in percent of request slots that may be lent beyond a team's
+    /// share while others wait.
+    pub lend_percent: u8,
+}
+
+impl Default for Preset {
+    fn default() -> Self {
+        Self {
+            order: Order::DominantShare,
+            reserve_after_ms: 2_000,
+            preempt: true,
+            max_waiting: 64,
+            lend_percent: 0,
+        }
+    }
+}
+
+/// A team of submitters.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Weight relative to the other teams when the fleet is full.
+    pub share: u32,
+    /// Most that may run at once across the fleet.
+    #[serde(default)]
+    pub limit: Option<Resources>,
+    /// Hashes of the granted keys.
+    #[serde(default)]
+    pub keys: Vec<Hash>,
+}
+
+/// A named entry point for requests or jobs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Queue {
+    /// Kind of work accepted.
+    pub work: Work,
+    /// True when no key is needed; work then counts for `open_team`.
+    #[serde(default)]
+    pub open_team: Option<Name>,
+    /// True when a request may be sent again after an unknown outcome.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Executor service that answers requests of this queue.
+    #[serde(default)]
+    pub service: Option<Name>,
+}
+
+/// Everything operators control, as one versioned document.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Grows by one with each accepted change; zero is "none yet".
+    #[serde(default)]
+    pub version: u64,
+    /// Identifiers of the latest changes, newest last.
+    #[serde(default)]
+    pub history: Vec<Name>,
+    /// Presets by name.
+    pub presets: BTreeMap<Name, Preset>,
+    /// Name of the preset in force.
+    pub in_force: Name,
+    /// Teams by name.
+    pub teams: BTreeMap<Name, Team>,
+    /// Queues by name.
+    pub queues: BTreeMap<Name, Queue>,
+}
+
+/// One change by an operator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "change")]
+pub enum Change {
+    /// Creates or replaces a preset.
+    PutPreset {
+        /// Name of the preset.
+        name: Name,
+        /// New content.
+        preset: Preset,
+    },
+    /// Puts another preset in force.
+    SwitchPreset {
+        /// Name of an existing preset.
+        name: Name,
+    },
+    /// Creates a team or replaces its share and limit; keys stay.
+    PutTeam {
+        /// Name of the team.
+        name: Name,
+        /// New weight.
+        share: u32,
+        /// New limit, or none.
+        limit: Option<Resources>,
+    },
+    /// Adds a key hash to a team.
+    GrantKey {
+        /// Name of the team.
+        team: Name,
+        /// Hash of the new key.
+        hash: Hash,
+    },
+    /// Removes a key hash from a team.
+    WithdrawKey {
+        /// Name of the team.
+        team: Name,
+        /// Hash of the key.
+        hash: Hash,
+    },
+    /// Creates or replaces a queue.
+    PutQueue {
+        /// Name of the queue.
+        name: Name,
+        /// New content.
+        queue: Queue,
+    },
+}
+
+/// Why a change or a configuration is not acceptable.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Conflict {
+    /// The named preset does not exist.
+    #[error("no preset named {0}")]
+    NoPreset(Name),
+    /// The named team does not exist.
+    #[error("no team named {0}")]
+    NoTeam(Name),
+    /// The key is not granted to the team.
+    #[error("team {0} has no such key")]
+    NoKey(Name),
+    /// The key hash belongs to a team already.
+    #[error("the key is already granted to team {0}")]
+    KeyInUse(Name),
+    /// A share must be positive.
+    #[error("the share of team {0} must be at least 1")]
+    ZeroShare(Name),
+    /// A name is empty, too long or has characters outside `[a-z0-9._-]`.
+    #[error("the name {0:?} must be 1 to {MAX_NAME_BYTES} of a-z, 0-9, '.', '_' and '-'")]
+    BadName(Name),
+    /// A request queue needs a service to answer it.
+    #[error("queue {0} takes requests and needs a service")]
+    NoService(Name),
+    /// A table is full.
+    #[error("there are already {0} entries of this kind")]
+    Full(usize),
+    /// Another change came first; read again and retry.
+    #[error("another change came first; version {0} is in force")]
+    Raced(u64),
+}
+
+fn check_name(name: &Name) -> Result<(), Conflict> {
+    let legal = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "._-".contains(c);
+    match name {
+        n if n.is_empty() || n.len() > MAX_NAME_BYTES => Err(Conflict::BadName(name.clone())),
+        n if !n.chars().all(legal) => Err(Conflict::BadName(name.clone())),
+        _ => Ok(()),
+    }
+}
+
+impl Config {
+    /// The configuration after one change, with the next version.
+    ///
+    /// # Errors
+    /// Returns the conflict that rules the change out.
+    pub fn with(&self, change: &Change, change_id: Name) -> Result<Self, Conflict> {
+        let mut next = self.clone();
+        next.edit(change)?;
+        next.verify()?;
+        next.version += 1;
+        next.history.push(change_id);
+        let excess = next.history.len().saturating_sub(HISTORY);
+        next.history.drain(..excess);
+        Ok(next)
+    }
+
+    fn edit(&mut self, change: &Change) -> Result<(), Conflict> {
+        match change {
+            Change::PutPreset { name, preset } => {
+                self.presets.insert(name.clone(), preset.clone());
+            }
+            Change::SwitchPreset { name } => self.in_force = name.clone(),
+            Change::PutTeam { name, share, limit } => {
+                let team = self.teams.entry(name.clone()).or_default();
+                team.share = *share;
+                team.limit = *limit;
+            }
+            Change::GrantKey { team, hash } => {
+                if let Some(holder) = self.team_of(hash) {
+                    return Err(Conflict::KeyInUse(holder.clone()));
+                }
+                self.team_mut(team)?.keys.push(hash.clone());
+            }
+            Change::WithdrawKey { team, hash } => {
+                let keys = &mut self.team_mut(team)?.keys;
+                let before = keys.len();
+                keys.retain(|k| !key::same(k, hash));
+                if keys.len() == before {
+                    return Err(Conflict::NoKey(team.clone()));
+                }
+            }
+            Change::PutQueue { name, queue } => {
+                self.queues.insert(name.clone(), queue.clone());
+            }
+        }
+        Ok(())
+    }
+
+    fn team_mut(&mut self, name: &Name) -> Result<&mut Team, Conflict> {
+        self.teams
+            .get_mut(name)
+            .ok_or_else(|| Conflict::NoTeam(name.clone()))
+    }
+
+    /// Checks the whole document.
+    ///
+    /// # Errors
+    /// Returns the first conflict found.
+    pub fn verify(&self) -> Result<(), Conflict> {
+        if !self.presets.contains_key(&self.in_force) {
+            return Err(Conflict::NoPreset(self.in_force.clone()));
+        }
+        if self.teams.len() > MAX_TEAMS {
+            return Err(Conflict::Full(MAX_TEAMS));
+        }
+        if self.queues.len() > MAX_QUEUES {
+            return Err(Conflict::Full(MAX_QUEUES));
+        }
+        self.presets.keys().try_for_each(check_name)?;
+        for (name, team) in &self.teams {
+            check_name(name)?;
+            match team {
+                t if t.share == 0 => return Err(Conflict::ZeroShare(name.clone())),
+                t if t.keys.len() > MAX_KEYS => return Err(Conflict::Full(MAX_KEYS)),
+                _ => {}
+            }
+        }
+        for (name, queue) in &self.queues {
+            check_name(name)?;
+            if queue.work == Work::Request && queue.service.is_none() {
+                return Err(Conflict::NoService(name.clone()));
+            }
+            if let Some(team) = queue
+                .open_team
+                .as_ref()
+                .filter(|t| !self.teams.contains_key(*t))
+            {
+                return Err(Conflict::NoTeam(team.clone()));
+            }
+        }
+        Ok(())
+    }
+
+    /// The team that holds the key with this hash.
+    #[must_use]
+    pub fn team_of(&self, hash: &Hash) -> Option<&Name> {
+        let holds = |team: &Team| team.keys.iter().any(|k| key::same(k, hash));
+        self.teams.iter().find(|(_, t)| holds(t)).map(|(n, _)| n)
+    }
+
+    /// The preset in force, or the default before any configuration.
+    #[must_use]
+    pub fn preset(&self) -> Preset {
+        self.presets
+            .get(&self.in_force)
+            .cloned()
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/node/src/admin.rs
@@ -0,0 +1,179 @@
+//! The administration interface.
+//!
+//! Invariant: nothing is read or changed without the operators' token, which
+//! is compared by hash in constant time.
+
+use control::{Ask, Reply};
+use model::{Change, Conflict, Refusal, key};
+use salvo::http::StatusCode;
+use salvo::oapi::endpoint;
+use salvo::prelude::*;
+use serde::Serialize;
+
+use crate::server::App;
+
+/// Largest change.
+const MAX_CHANGE_BYTES: usize = 256 * 1024;
+
+/// Result of a change.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case", tag = "outcome")]
+enum Changed {
+    InForce {
+        version: u64,
+        confirmed: u32,
+        of: u32,
+    },
+    Conflict {
+        conflict: Conflict,
+        message: String,
+    },
+    Refused {
+        reason: Refusal,
+        message: String,
+    },
+    Unknown,
+    BadRequest {
+        message: String,
+    },
+}
+
+/// Routes of the administration interface.
+pub(crate) fn router() -> Router {
+    Router::with_path("admin/v1")
+        .hoop(authorize)
+        .push(Router::with_path("config").get(get_config))
+        .push(Router::with_path("changes").post(post_change))
+        .push(Router::with_path("fleet").get(get_fleet))
+        .push(Router::with_path("metrics").get(get_metrics))
+}
+
+/// Routes that the platform's balancer asks.
+pub(crate) fn health_router() -> Router {
+    Router::new()
+        .push(Router::with_path("healthz").get(get_health))
+        .push(Router::with_path("readyz").get(get_ready))
+}
+
+#[handler]
+async fn authorize(req: &mut Request, depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+    let header = req.headers().get("authorization");
+    let token = header.and_then(|v| v.to_str().ok()?.strip_prefix("Bearer "));
+    let app = depot.get_typed::<App>().ok();
+    let good = match (token, app) {
+        (Some(token), Some(app)) => key::same(&key::hash(token), &app.admin_token),
+        _ => false,
+    };
+    if !good {
+        res.status_code(StatusCode::UNAUTHORIZED);
+        ctrl.skip_rest();
+    }
+}
+
+/// True while the process runs.
+#[endpoint]
+async fn get_health(res: &mut Response) {
+    res.render(Text::Plain("ok"));
+}
+
+/// True while callers should be sent here.
+#[endpoint]
+async fn get_ready(depot: &mut Depot, res: &mut Response) {
+    let ready = match depot.get_typed::<App>() {
+        Ok(app) => app.ready().await,
+        Err(_) => false,
+    };
+    match ready {
+        true => res.render(Text::Plain("ready")),
+        false => {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        }
+    }
+}
+
+/// The configuration in force here.
+#[endpoint]
+async fn get_config(depot: &mut Depot, res: &mut Response) {
+    match ask(depot, Ask::Config).await {
+        Some(Reply::Config(config)) => res.render(Json(config)),
+        _ => {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        }
+    }
+}
+
+/// The fleet as seen from here.
+#[endpoint]
+async fn get_fleet(depot: &mut Depot, res: &mut Response) {
+    match ask(depot, Ask::Fleet).await {
+        Some(Reply::Fleet(fleet)) => res.render(Json(fleet)),
+        _ => {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        }
+    }
+}
+
+/// Quantiles of the waiting times measured here.
+#[endpoint]
+async fn get_metrics(depot: &mut Depot, res: &mut Response) {
+    match depot.get_typed::<App>() {
+        Ok(app) => res.render(Json(app.metrics().await)),
+        Err(_) => {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        }
+    }
+}
+
+/// Makes one change, on top of version `?expect=V` when given.
+#[endpoint]
+async fn post_change(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let expect = req.query::<u64>("expect");
+    let body = req.payload_with_max_size(MAX_CHANGE_BYTES).await;
+    let parsed = match body {
+        Ok(bytes) => serde_json::from_slice::<Change>(bytes).map_err(|e| e.to_string()),
+        Err(e) => Err(e.to_string()),
+    };
+    let (status, body) = match parsed {
+        Err(message) => (StatusCode::BAD_REQUEST, Changed::BadRequest { message }),
+        Ok(change) => changed(ask(depot, Ask::Change { change, expect }).await),
+    };
+    res.status_code(status);
+    res.render(Json(body));
+}
+
+fn changed(reply: Option<Reply>) -> (StatusCode, Changed) {
+    match reply {
+        Some(Reply::Changed {
+            version,
+            confirmed,
+            of,
+        }) => (
+            StatusCode::OK,
+            Changed::InForce {
+                version,
+                confirmed,
+                of,
+            },
+        ),
+        Some(Reply::Conflict(conflict)) => {
+            let message = conflict.to_string();
+            (
+                StatusCode::CONFLICT,
+                Changed::Conflict { conflict, message },
+            )
+        }
+        Some(Reply::Refused(reason)) => {
+            let message = reason.reason.to_string();
+            (
+                StatusCode::SERVICE_UNAVAILABLE,
+                Changed::Refused { reason, message },
+            )
+        }
+        _ => (StatusCode::GATEWAY_TIMEOUT, Changed::Unknown),
+    }
+}
+
+async fn ask(depot: &Depot, ask: Ask) -> Option<Reply> {
+    let app = depot.get_typed::<App>().ok()?;
+    app.ask(ask).await
+}
--- /dev/null
+++ b/crates/node/src/cli.rs
@@ -0,0 +1,145 @@
+//! Command line and start of the daemon.
+//!
+//! Invariant: `serve` starts nothing before the settings are checked whole.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use compact_str::format_compact;
+use eyre::WrapErr;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::channel;
+
+use crate::edge::Edges;
+use crate::http_client::Client;
+use crate::log_sink;
+use crate::mesh::{self, Keys, MESH_NAME};
+use crate::metrics::Metrics;
+use crate::platform::HttpPlatform;
+use crate::server::{self, App};
+use crate::settings::{self, File};
+use crate::shell::{Input, Shell};
+use crate::worker_client::{HttpExecutors, HttpWorkers};
+
+/// Questions that may wait for the loop.
+const MAX_INPUTS: usize = 4_096;
+
+fn command() -> Command {
+    let config = Arg::new("config")
+        .long("config")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .required(true)
+        .help("Settings file in YAML");
+    Command::new("greengagemastd")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Daemon of a greengagemast entry VM")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("serve")
+                .about("Checks the settings and serves")
+                .arg(config.clone()),
+        )
+        .subcommand(
+            Command::new("check")
+                .about("Checks the settings only")
+                .arg(config),
+        )
+        .subcommand(Command::new("mesh-key").about("Prints a new certificate and key for settings"))
+}
+
+/// Runs the daemon with a command line.
+#[must_use]
+pub fn main_with(args: Vec<OsString>) -> ExitCode {
+    let matches = match command().try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(error) => {
+            // Nothing can be done when the message can't be printed.
+            let _ = error.print();
+            return ExitCode::from(if error.use_stderr() { 2 } else { 0 });
+        }
+    };
+    let outcome = match matches.subcommand() {
+        Some(("check", args)) => load(args).map(|_| println!("settings are good")),
+        Some(("serve", args)) => load(args).and_then(run),
+        _ => print_mesh_key(),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("greengagemastd: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn load(args: &ArgMatches) -> eyre::Result<File> {
+    let path = args
+        .get_one::<PathBuf>("config")
+        .ok_or_else(|| eyre::eyre!("--config is missing"))?;
+    settings::load(path).map_err(|problems| {
+        let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+        eyre::eyre!("{}\n{}", path.display(), lines.join("\n"))
+    })
+}
+
+fn print_mesh_key() -> eyre::Result<()> {
+    let pair = rcgen::generate_simple_self_signed(vec![MESH_NAME.to_owned()])
+        .wrap_err("can't make a key")?;
+    println!("{}{}", pair.cert.pem(), pair.signing_key.serialize_pem());
+    Ok(())
+}
+
+fn run(file: File) -> eyre::Result<()> {
+    log_sink::install(file.log);
+    // A provider installed earlier in the process serves as well.
+    let _ = rustls::crypto::ring::default_provider().install_default();
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?
+        .block_on(serve(file))
+}
+
+async fn serve(file: File) -> eyre::Result<()> {
+    let keys = Keys::new(&file.mesh)?;
+    let (sender, receiver) = channel(MAX_INPUTS);
+    let client = Client::default();
+    let seed = fastrand::u64(..);
+    let edges = Edges {
+        platform: HttpPlatform::new(client.clone(), &file.platform),
+        workers: HttpWorkers(client.clone()),
+        executors: HttpExecutors {
+            client,
+            run_prefix: format_compact!("{}-{seed:x}", file.name.value),
+        },
+    };
+    let metrics = Metrics::new(file.statsd);
+    let format = file.log.format;
+    let mut shell = Shell::new(file.for_control(), seed, edges, metrics, format);
+    mesh::listen(&keys, file.listen.mesh.value, shell.events())?;
+    for peer in &file.peers {
+        shell.add_peer(&keys, peer.name.value.clone(), peer.address.value);
+    }
+    let app = App {
+        inputs: sender.clone(),
+        admin_token: file.admin_token_sha256.value.clone(),
+    };
+    let listen = &file.listen;
+    let tls = file.tls.as_ref();
+    let servers = server::start(app, listen.callers.value, listen.admin.value, tls).await?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        // The loop has ended already when the channel is closed.
+        drop(sender.send(Input::Shutdown).await);
+    });
+    shell.run(receiver).await;
+    servers.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/edge.rs
@@ -0,0 +1,54 @@
+//! The edges of the process, as traits.
+//!
+//! Each has one client over HTTP here and one fake in the tests. Another
+//! platform is fitted by implementing these traits.
+//!
+//! Invariant: each call ends within its limit, with an answer or a fault that
+//! says whether it may have taken effect.
+
+use std::future::Future;
+use std::time::Duration;
+
+use control::{Answered, Execute, ExecuteFault, Tables, Whole, WorkerFault};
+use model::{Call, Fault, Name, Report, Vm};
+
+/// The platform: table service and VM list.
+pub trait Platform: Clone + Send + Sync + 'static {
+    /// Calls the table service.
+    fn table(
+        &self,
+        call: Tables,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Answered, Fault>> + Send;
+
+    /// Reads the VM list; `None` when it can't be read.
+    fn vms(&self, limit: Duration) -> impl Future<Output = Option<Vec<Vm>>> + Send;
+}
+
+/// Workers.
+pub trait Workers: Clone + Send + Sync + 'static {
+    /// Calls one worker.
+    fn call(
+        &self,
+        address: Name,
+        call: Call,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Report, WorkerFault>> + Send;
+}
+
+/// Executors.
+pub trait Executors: Clone + Send + Sync + 'static {
+    /// Runs one request.
+    fn run(&self, execute: Execute) -> impl Future<Output = Result<Whole, ExecuteFault>> + Send;
+}
+
+/// All outgoing edges of a process.
+#[derive(Clone, Debug)]
+pub struct Edges<P, W, X> {
+    /// Platform.
+    pub platform: P,
+    /// Workers.
+    pub workers: W,
+    /// Executors.
+    pub executors: X,
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,106 @@
+//! Histograms per team and counters, readable and sent by statsd.
+//!
+//! Invariant: a histogram keeps three significant digits from 1 ms to an hour.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+
+use cadence::prelude::*;
+use cadence::{NopMetricSink, StatsdClient, UdpMetricSink};
+use control::Measure;
+use hdrhistogram::Histogram;
+use model::Name;
+use serde::Serialize;
+
+/// Largest value recorded in ms.
+const MAX_MS: u64 = 3_600_000;
+/// Significant digits kept.
+const DIGITS: u8 = 3;
+
+/// Quantiles of one histogram.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Quantiles {
+    measure: &'static str,
+    team: Name,
+    count: u64,
+    p50: u64,
+    p99: u64,
+    max: u64,
+}
+
+/// All metrics of the process.
+pub(crate) struct Metrics {
+    statsd: StatsdClient,
+    histograms: BTreeMap<(&'static str, Name), Histogram<u32>>,
+}
+
+impl Metrics {
+    /// Metrics sent to `address`, or kept here only.
+    pub(crate) fn new(address: Option<SocketAddr>) -> Self {
+        let statsd = address.and_then(statsd_to);
+        Self {
+            statsd: statsd
+                .unwrap_or_else(|| StatsdClient::from_sink("greengagemast", NopMetricSink)),
+            histograms: BTreeMap::new(),
+        }
+    }
+
+    /// Records one value in ms.
+    pub(crate) fn record(&mut self, measure: Measure, team: &Name, value: u64) {
+        let name = name_of(measure);
+        // A metric that can't be sent is dropped.
+        let _ = self
+            .statsd
+            .histogram_with_tags(name, value)
+            .with_tag("team", team)
+            .try_send();
+        let key = (name, team.clone());
+        let histogram = self.histograms.entry(key).or_insert_with(|| {
+            Histogram::new_with_max(MAX_MS, DIGITS).unwrap_or_else(|_| unreachable_histogram())
+        });
+        histogram.saturating_record(value.min(MAX_MS));
+    }
+
+    /// Counts one log event by its number.
+    pub(crate) fn count_event(&self, number: u16) {
+        // A metric that can't be sent is dropped.
+        let _ = self
+            .statsd
+            .count_with_tags("event", 1)
+            .with_tag("number", &number.to_string())
+            .try_send();
+    }
+
+    /// Quantiles of all histograms.
+    pub(crate) fn view(&self) -> Vec<Quantiles> {
+        let view = |((measure, team), h): (&(&'static str, Name), &Histogram<u32>)| Quantiles {
+            measure,
+            team: team.clone(),
+            count: h.len(),
+            p50: h.value_at_quantile(0.5),
+            p99: h.value_at_quantile(0.99),
+            max: h.max(),
+        };
+        self.histograms.iter().map(view).collect()
+    }
+}
+
+fn statsd_to(address: SocketAddr) -> Option<StatsdClient> {
+    let socket = UdpSocket::bind("0.0.0.0:0").ok()?;
+    socket.set_nonblocking(true).ok()?;
+    let sink = UdpMetricSink::from(address, socket).ok()?;
+    Some(StatsdClient::from_sink("greengagemast", sink))
+}
+
+const fn name_of(measure: Measure) -> &'static str {
+    match measure {
+        Measure::RequestWait => "request_wait_ms",
+        Measure::TaskWait => "task_wait_ms",
+        Measure::UrgentWait => "urgent_wait_ms",
+    }
+}
+
+/// The bounds above are constants that the library accepts.
+fn unreachable_histogram() -> Histogram<u32> {
+    unreachable!("constant histogram bounds")
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,348 @@
+//! Settings of the daemon, read from YAML and checked whole.
+//!
+//! Invariant: a `Checked` value is consistent; nothing starts without one.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use control::{Identity, Timing};
+use model::{Config, Hash, Name};
+use serde::Deserialize;
+use serde::de::Error as _;
+use serde_saphyr::Spanned;
+
+/// A duration written as a number and a unit, such as `500ms` or `20s`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span(pub Duration);
+
+impl<'de> Deserialize<'de> for Span {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        let text = Name::deserialize(deserializer)?;
+        let wrong = || D::Error::custom(format!("{text:?}: write a number with ms, s or m"));
+        let split = text.find(|c: char| !c.is_ascii_digit()).ok_or_else(wrong)?;
+        let (number, unit) = text.split_at(split);
+        let number: u64 = number.parse().map_err(|_| wrong())?;
+        match unit {
+            "ms" => Ok(Self(Duration::from_millis(number))),
+            "s" => Ok(Self(Duration::from_secs(number))),
+            "m" => Ok(Self(Duration::from_secs(number.saturating_mul(60)))),
+            _ => Err(wrong()),
+        }
+    }
+}
+
+/// Addresses that the daemon listens on.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers' HTTP interface.
+    pub callers: Spanned<SocketAddr>,
+    /// Administration interface.
+    pub admin: Spanned<SocketAddr>,
+    /// Other entry VMs, UDP.
+    pub mesh: Spanned<SocketAddr>,
+}
+
+/// Files with a certificate chain and its key, in PEM.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// Path of the certificate chain.
+    pub certificate: Spanned<String>,
+    /// Path of the key.
+    pub key: Spanned<String>,
+}
+
+/// Certificate and key shared by the entry VMs, in PEM.
+#[derive(Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Mesh {
+    /// Certificate.
+    pub certificate: String,
+    /// Key.
+    pub key: String,
+}
+
+impl std::fmt::Debug for Mesh {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Mesh")
+    }
+}
+
+/// Another entry VM.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Peer {
+    /// Name.
+    pub name: Spanned<Name>,
+    /// Data centre.
+    pub data_centre: Spanned<Name>,
+    /// Mesh address.
+    pub address: Spanned<SocketAddr>,
+}
+
+/// The platform's services.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Services {
+    /// Table service.
+    pub table: SocketAddr,
+    /// VM list.
+    pub vms: SocketAddr,
+}
+
+/// Log format.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One line of text a record.
+    #[default]
+    Text,
+    /// One JSON object a record.
+    Json,
+}
+
+/// Log settings.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Format.
+    pub format: LogFormat,
+    /// True to log warnings only.
+    pub quiet: bool,
+}
+
+/// Times that may be changed from their defaults.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Times {
+    /// Period of signs of life in the data centre.
+    pub beat: Option<Span>,
+    /// Period of signs of life elsewhere.
+    pub beat_far: Option<Span>,
+    /// Silence after which a peer counts as dead.
+    pub peer_silent: Option<Span>,
+    /// Period of configuration reads.
+    pub poll: Option<Span>,
+    /// Period of worker calls.
+    pub sync: Option<Span>,
+    /// Lease of tasks.
+    pub task_lease: Option<Span>,
+    /// Lease of owners.
+    pub owner_lease: Option<Span>,
+    /// Time for which ended jobs stay known.
+    pub retention: Option<Span>,
+}
+
+/// The settings file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct File {
+    /// Name of this entry VM.
+    pub name: Spanned<Name>,
+    /// Its data centre.
+    pub data_centre: Spanned<Name>,
+    /// All data centres.
+    pub data_centres: Spanned<Vec<Name>>,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Hex SHA-256 of the operators' token.
+    pub admin_token_sha256: Spanned<Hash>,
+    /// TLS towards callers.
+    #[serde(default)]
+    pub tls: Option<Tls>,
+    /// Keys of the entry VMs.
+    pub mesh: Mesh,
+    /// The other entry VMs.
+    #[serde(default)]
+    pub peers: Vec<Peer>,
+    /// The platform.
+    pub platform: Services,
+    /// Table writes a second for this VM.
+    #[serde(default = "default_writes")]
+    pub store_writes_per_second: Spanned<u32>,
+    /// Times.
+    #[serde(default = "default_times")]
+    pub times: Spanned<Times>,
+    /// Logs.
+    #[serde(default)]
+    pub log: Log,
+    /// Address of a statsd server for metrics, UDP.
+    #[serde(default)]
+    pub statsd: Option<SocketAddr>,
+    /// Configuration to create when the store has none.
+    #[serde(default)]
+    pub initial: Option<Spanned<Config>>,
+}
+
+/// A value that stands nowhere in the file.
+fn unwritten<T>(value: T) -> Spanned<T> {
+    let nowhere = serde_saphyr::Location::UNKNOWN;
+    Spanned::new(value, nowhere, nowhere)
+}
+
+fn default_writes() -> Spanned<u32> {
+    unwritten(40)
+}
+
+fn default_times() -> Spanned<Times> {
+    unwritten(Times::default())
+}
+
+/// One thing that is wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Problem {
+    /// The file can't be read.
+    #[error("{0}: {1}")]
+    Unreadable(String, std::io::ErrorKind),
+    /// Syntax, unknown key, missing key or wrong type; the text has the line.
+    #[error("{0}")]
+    Malformed(String),
+    /// A value is not allowed.
+    #[error("line {line}: {field}: {allowed}")]
+    NotAllowed {
+        /// Line in the file.
+        line: u64,
+        /// Key.
+        field: &'static str,
+        /// What is allowed.
+        allowed: String,
+    },
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// Returns every problem found.
+pub fn load(path: &Path) -> Result<File, Vec<Problem>> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| vec![Problem::Unreadable(path.display().to_string(), e.kind())])?;
+    parse(&text)
+}
+
+/// Parses and checks settings.
+///
+/// # Errors
+/// Returns every problem found.
+pub fn parse(text: &str) -> Result<File, Vec<Problem>> {
+    let file: File =
+        serde_saphyr::from_str(text).map_err(|e| vec![Problem::Malformed(e.to_string())])?;
+    let problems = file.problems();
+    match problems.is_empty() {
+        true => Ok(file),
+        false => Err(problems),
+    }
+}
+
+fn wrong<T>(at: &Spanned<T>, field: &'static str, allowed: String) -> Problem {
+    Problem::NotAllowed {
+        line: at.referenced.line(),
+        field,
+        allowed,
+    }
+}
+
+impl File {
+    fn problems(&self) -> Vec<Problem> {
+        let mut out = Vec::new();
+        self.check_places(&mut out);
+        self.check_addresses(&mut out);
+        let token = &self.admin_token_sha256;
+        if token.value.len() != 64 || !token.value.chars().all(|c| c.is_ascii_hexdigit()) {
+            let allowed = "64 hex digits".to_owned();
+            out.push(wrong(token, "admin_token_sha256", allowed));
+        }
+        let writes = &self.store_writes_per_second;
+        if !(1..=1_000).contains(&writes.value) {
+            let allowed = "1 to 1000".to_owned();
+            out.push(wrong(writes, "store_writes_per_second", allowed));
+        }
+        if let Err(clash) = self.timing().verify() {
+            out.push(wrong(&self.times, "times", clash.to_string()));
+        }
+        if let Some(initial) = &self.initial
+            && let Err(conflict) = initial.value.verify()
+        {
+            out.push(wrong(initial, "initial", conflict.to_string()));
+        }
+        out
+    }
+
+    fn check_places(&self, out: &mut Vec<Problem>) {
+        let known = &self.data_centres.value;
+        let listed = || format!("one of data_centres: {}", known.join(", "));
+        if !known.contains(&self.data_centre.value) {
+            out.push(wrong(&self.data_centre, "data_centre", listed()));
+        }
+        let mut names = vec![&self.name.value];
+        for peer in &self.peers {
+            if !known.contains(&peer.data_centre.value) {
+                out.push(wrong(&peer.data_centre, "peers.data_centre", listed()));
+            }
+            if names.contains(&&peer.name.value) {
+                let allowed = format!("{} names another entry VM already", peer.name.value);
+                out.push(wrong(&peer.name, "peers.name", allowed));
+            }
+            names.push(&peer.name.value);
+        }
+    }
+
+    fn check_addresses(&self, out: &mut Vec<Problem>) {
+        let listen = &self.listen;
+        if listen.callers.value == listen.admin.value {
+            let allowed = format!("{} is listen.callers already", listen.admin.value);
+            out.push(wrong(&listen.admin, "listen.admin", allowed));
+        }
+        let mut seen = vec![listen.mesh.value];
+        for peer in &self.peers {
+            if seen.contains(&peer.address.value) {
+                let allowed = format!("{} belongs to another entry VM", peer.address.value);
+                out.push(wrong(&peer.address, "peers.address", allowed));
+            }
+            seen.push(peer.address.value);
+        }
+    }
+
+    /// Timing with the file's changes to the defaults.
+    pub(crate) fn timing(&self) -> Timing {
+        let mut timing = Timing::default();
+        let times = &self.times.value;
+        let set = |to: &mut Duration, from: Option<Span>| {
+            if let Some(Span(value)) = from {
+                *to = value;
+            }
+        };
+        set(&mut timing.beat, times.beat);
+        set(&mut timing.beat_far, times.beat_far);
+        set(&mut timing.peer_silent, times.peer_silent);
+        set(&mut timing.poll, times.poll);
+        set(&mut timing.sync, times.sync);
+        set(&mut timing.task_lease, times.task_lease);
+        set(&mut timing.owner_lease, times.owner_lease);
+        set(&mut timing.retention, times.retention);
+        timing
+    }
+
+    /// Settings of the reducer.
+    pub(crate) fn for_control(&self) -> control::Settings {
+        let peer = |p: &Peer| Identity {
+            name: p.name.value.clone(),
+            data_centre: p.data_centre.value.clone(),
+        };
+        control::Settings {
+            identity: Identity {
+                name: self.name.value.clone(),
+                data_centre: self.data_centre.value.clone(),
+            },
+            peers: self.peers.iter().map(peer).collect(),
+            data_centres: self.data_centres.value.clone(),
+            timing: self.timing(),
+            store_writes_per_second: self.store_writes_per_second.value,
+            initial: self.initial.as_ref().map(|i| i.value.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/explain.rs
@@ -0,0 +1,66 @@
+//! Reasons why a job waits.
+//!
+//! Invariant: explanations are derived from state and change nothing.
+
+use compact_str::{CompactString, format_compact};
+use model::{Name, Resources, Work};
+
+use crate::engine::Engine;
+use crate::gang::copies;
+use crate::queue::JobRef;
+use crate::worker::State;
+
+impl Engine {
+    /// Tasks of a job that run now.
+    #[must_use]
+    pub fn running(&self, job: JobRef) -> u32 {
+        self.queues.jobs[job as usize].running
+    }
+
+    /// Says why a job waits, most decisive reason first.
+    #[must_use]
+    pub fn explain(&self, job: JobRef) -> Vec<Name> {
+        let entry = &self.queues.jobs[job as usize];
+        let shape = self.queues.shapes[entry.shape as usize].shape;
+        let pending = entry.pending.len() as u32;
+        if pending == 0 {
+            return vec![format_compact!("{} tasks run, none waits", entry.running)];
+        }
+        let mut out = Vec::new();
+        let need = match shape.work {
+            Work::Gang => shape.each.times(pending),
+            _ => shape.each,
+        };
+        let team = &self.queues.teams[entry.team as usize];
+        if !team.used.plus(need).fits(&team.allotment) {
+            out.push(CompactString::from("the team is at its upper limit here"));
+        }
+        out.push(self.explain_room(&shape.each, pending, shape.work));
+        let rank = self.team_rank(entry.team);
+        let ahead =
+            |t: &usize| self.queues.teams[*t].queued_jobs > 0 && self.team_rank(*t as u16) < rank;
+        let ahead = (0..self.queues.teams.len()).filter(ahead).count();
+        out.push(format_compact!(
+            "{ahead} teams are further below their share"
+        ));
+        if self.reservation.as_ref().is_some_and(|r| r.job == job) {
+            out.push(CompactString::from(
+                "workers are reserved and being emptied",
+            ));
+        }
+        out
+    }
+
+    fn explain_room(&self, each: &Resources, pending: u32, work: Work) -> CompactString {
+        let open = || self.workers.iter().filter(|w| w.state == State::Open);
+        let now: usize = open().map(|w| copies(&w.free, each)).sum();
+        let empty: usize = open().map(|w| copies(&w.capacity, each)).sum();
+        match work {
+            Work::Gang if empty < pending as usize => {
+                format_compact!("an empty fleet holds {empty} of {pending} tasks")
+            }
+            _ if empty == 0 => CompactString::from("no worker is large enough"),
+            _ => format_compact!("room for {now} of {pending} waiting tasks now"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/learn.rs
@@ -0,0 +1,53 @@
+//! Run times learned per class of job.
+//!
+//! Declared run times are far off, so estimates come from completed tasks once
+//! a class has some. Estimates only order choices; they never change how much
+//! of a worker is committed.
+//!
+//! Invariant: an estimate is at least 1 ms.
+
+/// Completions after which the learned value replaces the declared one.
+const TRUSTED_AFTER: u32 = 3;
+/// Weight of the newest completion.
+const GAIN: f64 = 0.2;
+
+/// Learned run time of one class.
+#[derive(Clone, Copy, Debug, Default)]
+struct Class {
+    mean_ms: f64,
+    deviation_ms: f64,
+    seen: u32,
+}
+
+/// Learned run times, indexed by class.
+#[derive(Debug, Default)]
+pub(crate) struct Estimates {
+    classes: Vec<Class>,
+}
+
+impl Estimates {
+    /// Records that a task of `class` ran for `ran_ms`.
+    pub(crate) fn record(&mut self, class: u32, ran_ms: u64) {
+        let index = class as usize;
+        if index >= self.classes.len() {
+            self.classes.resize(index + 1, Class::default());
+        }
+        let entry = &mut self.classes[index];
+        let ran = ran_ms as f64;
+        if entry.seen == 0 {
+            entry.mean_ms = ran;
+        }
+        // Mean and deviation as in Jacobson, "Congestion Avoidance", 1988.
+        let error = ran - entry.mean_ms;
+        entry.mean_ms += GAIN * error;
+        entry.deviation_ms += GAIN * (error.abs() - entry.deviation_ms);
+        entry.seen = entry.seen.saturating_add(1);
+    }
+
+    /// An upper estimate in ms; `None` until the class has completions.
+    pub(crate) fn upper_ms(&self, class: u32) -> Option<u64> {
+        let entry = self.classes.get(class as usize)?;
+        let trusted = entry.seen >= TRUSTED_AFTER;
+        trusted.then_some((entry.mean_ms + 2.0 * entry.deviation_ms).max(1.0) as u64)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,24 @@
+//! Placement, fair share, limits, gangs and preemption for one data centre.
+//!
+//! The engine is pure: callers pass the time in and get decisions out.
+//!
+//! Invariant: after every call each worker's free resources equal its capacity
+//! less its running tasks, each team's use equals the sum of its tasks, and no
+//! team holds more than its allotment gained through a placement.
+
+pub(crate) mod engine;
+pub(crate) mod explain;
+pub(crate) mod gang;
+pub(crate) mod health;
+pub(crate) mod learn;
+pub(crate) mod preempt;
+pub(crate) mod queue;
+pub(crate) mod select;
+pub(crate) mod tree;
+pub(crate) mod verify;
+pub(crate) mod worker;
+
+pub use engine::{Decision, Engine, Request, Settings};
+pub use queue::{JobRef, Outcome, TeamId};
+pub use verify::Violation;
+pub use worker::{State, WorkerId};
--- /dev/null
+++ b/crates/policy/src/preempt.rs
@@ -0,0 +1,220 @@
+//! Room for urgent work by stopping batch tasks.
+//!
+//! The team furthest above its share pays first, and among its tasks the
+//! youngest, which lose least. A job's tasks are preempted a bounded number of
+//! times, so that no task is restarted for ever.
+//!
+//! Invariant: a claimed worker takes no other work until the urgent task has
+//! started there or the claim is dropped.
+
+use model::{Resources, Work};
+
+use crate::engine::{Decision, Engine};
+use crate::gang::MAX_PREEMPTIONS;
+use crate::queue::JobRef;
+use crate::worker::{State, Task, WorkerId};
+
+/// Workers compared for one preemption.
+const SAMPLED_WORKERS: usize = 256;
+/// Time in ms after which a victim is stopped without a checkpoint.
+const CHECKPOINT_MS: u64 = 1_000;
+
+/// A worker being emptied for one urgent task.
+#[derive(Debug)]
+pub(crate) struct Claim {
+    pub(crate) worker: WorkerId,
+    pub(crate) job: JobRef,
+    pub(crate) since_ms: u64,
+    pub(crate) forced: bool,
+}
+
+impl Engine {
+    /// True when a task may be stopped in favour of other work.
+    pub(crate) fn is_preemptible(&self, task: &Task) -> bool {
+        let job = &self.queues.jobs[task.job as usize];
+        let shape = self.queues.shapes[job.shape as usize].shape;
+        shape.work == Work::Batch && !shape.urgent && job.preempted < MAX_PREEMPTIONS
+    }
+
+    /// Claims one worker for each pending task of `job` that has no claim.
+    pub(crate) fn preempt_for(&mut self, job: JobRef, each: &Resources, out: &mut Vec<Decision>) {
+        let wanted = self.queues.jobs[job as usize].pending.len();
+        let mut have = self.claims.iter().filter(|c| c.job == job).count();
+        while have < wanted {
+            let Some(worker) = self.cheapest_victim(each) else {
+                return;
+            };
+            self.claim(worker, job, each, out);
+            have += 1;
+        }
+    }
+
+    /// The sampled worker on which the least work is lost.
+    fn cheapest_victim(&mut self, each: &Resources) -> Option<WorkerId> {
+        let count = self.workers.len();
+        let mut best: Option<(f64, WorkerId)> = None;
+        for k in 0..count.min(SAMPLED_WORKERS) {
+            let worker = (self.sample_from + k) % count;
+            let Some(cost) = self.eviction_cost(worker as WorkerId, each) else {
+                continue;
+            };
+            if best.is_none_or(|(b, _)| cost < b) {
+                best = Some((cost, worker as WorkerId));
+            }
+        }
+        self.sample_from = (self.sample_from + SAMPLED_WORKERS) % count.max(1);
+        best.map(|(_, worker)| worker)
+    }
+
+    /// Work lost by making room for `each`, or `None` when that can't be done.
+    fn eviction_cost(&self, worker: WorkerId, each: &Resources) -> Option<f64> {
+        let entry = &self.workers[worker as usize];
+        let usable = entry.state == State::Open && entry.reserved_for.is_none();
+        if !usable || !each.fits(&entry.capacity) {
+            return None;
+        }
+        let mut room = entry.free;
+        let mut cost = 0.0;
+        let mut last = None;
+        while !each.fits(&room) {
+            let (at, victim) = self.next_victim(worker, last)?;
+            last = Some(at);
+            room = room.plus(victim.each);
+            cost += 1.0 + self.now_ms.saturating_sub(victim.started_ms) as f64 / 1_000.0;
+        }
+        Some(cost)
+    }
+
+    /// Victims of a worker in order of preference, after `last`.
+    fn next_victim(&self, worker: WorkerId, last: Option<(f64, u64, usize)>) -> Option<Victim<'_>> {
+        let tasks = self.workers[worker as usize].tasks.iter().enumerate();
+        let mut best: Option<Victim<'_>> = None;
+        for (at, task) in tasks {
+            if task.stopping || !self.is_preemptible(task) {
+                continue;
+            }
+            let team = self.queues.jobs[task.job as usize].team;
+            let rank = (-self.team_rank(team), u64::MAX - task.started_ms, at);
+            let after = last.is_none_or(|l| rank > l);
+            if after && best.as_ref().is_none_or(|(b, _)| rank < *b) {
+                best = Some((rank, task));
+            }
+        }
+        best
+    }
+
+    fn claim(&mut self, worker: WorkerId, job: JobRef, each: &Resources, out: &mut Vec<Decision>) {
+        let mut room = self.workers[worker as usize].free;
+        while !each.fits(&room) {
+            let Some(((_, _, at), _)) = self.next_victim(worker, None) else {
+                break;
+            };
+            room = room.plus(self.workers[worker as usize].tasks[at].each);
+            self.stop_task(worker, at, true, out);
+        }
+        self.workers[worker as usize].reserved_for = Some(job);
+        self.offer(worker);
+        self.claims.push(Claim {
+            worker,
+            job,
+            since_ms: self.now_ms,
+            forced: false,
+        });
+    }
+
+    fn stop_task(
+        &mut self,
+        worker: WorkerId,
+        at: usize,
+        checkpoint: bool,
+        out: &mut Vec<Decision>,
+    ) {
+        let task = &mut self.workers[worker as usize].tasks[at];
+        task.stopping = true;
+        out.push(Decision::Stop {
+            job: task.job,
+            task: task.index,
+            attempt: task.attempt,
+            worker,
+            checkpoint,
+        });
+    }
+
+    /// Stops every preemptible task of a worker.
+    pub(crate) fn stop_preemptible(&mut self, worker: WorkerId, out: &mut Vec<Decision>) {
+        for at in 0..self.workers[worker as usize].tasks.len() {
+            let task = &self.workers[worker as usize].tasks[at];
+            if !task.stopping && self.is_preemptible(task) {
+                self.stop_task(worker, at, true, out);
+            }
+        }
+    }
+
+    /// Starts urgent tasks on claimed workers that have room by now.
+    pub(crate) fn serve_claims(&mut self, out: &mut Vec<Decision>) {
+        let mut at = 0;
+        while at < self.claims.len() {
+            if self.serve_claim(at, out) {
+                let claim = self.claims.swap_remove(at);
+                self.workers[claim.worker as usize].reserved_for = None;
+                self.offer(claim.worker);
+            } else {
+                at += 1;
+            }
+        }
+    }
+
+    /// True when the claim is over.
+    fn serve_claim(&mut self, at: usize, out: &mut Vec<Decision>) -> bool {
+        let Claim {
+            worker,
+            job,
+            since_ms,
+            forced,
+        } = self.claims[at];
+        let entry = &self.queues.jobs[job as usize];
+        let each = self.queues.shapes[entry.shape as usize].shape.each;
+        let open = self.workers[worker as usize].state == State::Open;
+        if !open || entry.ended || entry.pending.is_empty() {
+            return true;
+        }
+        let team = &self.queues.teams[entry.team as usize];
+        if !team.used.plus(each).fits(&team.allotment) {
+            return true;
+        }
+        if each.fits(&self.workers[worker as usize].free) {
+            self.start(worker, job, out);
+            return true;
+        }
+        if !forced && self.now_ms.saturating_sub(since_ms) >= CHECKPOINT_MS {
+            self.claims[at].forced = true;
+            self.force_stops(worker, out);
+        }
+        false
+    }
+
+    fn force_stops(&mut self, worker: WorkerId, out: &mut Vec<Decision>) {
+        for at in 0..self.workers[worker as usize].tasks.len() {
+            if self.workers[worker as usize].tasks[at].stopping {
+                self.stop_task(worker, at, false, out);
+            }
+        }
+    }
+
+    /// Drops the claims of an ended job.
+    pub(crate) fn drop_claims_of(&mut self, job: JobRef) {
+        let mut at = 0;
+        while at < self.claims.len() {
+            if self.claims[at].job == job {
+                let claim = self.claims.swap_remove(at);
+                self.workers[claim.worker as usize].reserved_for = None;
+                self.offer(claim.worker);
+            } else {
+                at += 1;
+            }
+        }
+        self.drop_reservation(job);
+    }
+}
+
+type Victim<'a> = ((f64, u64, usize), &'a Task);
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,209 @@
+//! Jobs, teams and the waiting lines between them.
+//!
+//! Jobs of one team with the same shape wait in one line. A shape that fits
+//! nowhere is marked blocked and its lines are skipped until a worker frees
+//! enough room for it, so a full fleet costs no repeated searches.
+//!
+//! Invariant: a line's live entries are in order of submission, and entries
+//! of ended jobs are at most half of a line plus a constant.
+
+use std::collections::{HashMap, VecDeque};
+
+use model::{Attempt, Resources, TaskIndex, Work};
+
+use crate::worker::WorkerId;
+
+/// Dense index of a team.
+pub type TeamId = u16;
+/// Dense index of a job.
+pub type JobRef = u32;
+/// Dense index of a shape.
+pub(crate) type ShapeId = u32;
+/// Dense index of a line.
+pub(crate) type LineId = u32;
+
+/// Dead entries that a line keeps before it is compacted.
+const DEAD_SLACK: usize = 32;
+
+/// How an attempt ended, as far as the policy cares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Completed.
+    Completed,
+    /// Failed by itself.
+    Failed,
+    /// Stopped or lost; to be run again.
+    Interrupted,
+}
+
+/// What decides where a task fits and how it is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Shape {
+    pub(crate) each: Resources,
+    pub(crate) work: Work,
+    pub(crate) urgent: bool,
+    /// Tasks that start together: the size of a gang, otherwise one.
+    pub(crate) together: u32,
+}
+
+/// One job.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) seq: u64,
+    pub(crate) team: TeamId,
+    pub(crate) shape: ShapeId,
+    pub(crate) line: LineId,
+    pub(crate) class: u32,
+    pub(crate) first_attempt: Attempt,
+    pub(crate) submitted_ms: u64,
+    pub(crate) tasks: u32,
+    /// Tasks to start, next one last.
+    pub(crate) pending: Vec<(TaskIndex, Attempt)>,
+    pub(crate) running: u32,
+    pub(crate) completed: u32,
+    pub(crate) preempted: u32,
+    pub(crate) failed_on: Vec<WorkerId>,
+    pub(crate) racks: Vec<(u16, u32)>,
+    pub(crate) queued: bool,
+    pub(crate) ended: bool,
+}
+
+/// One team's line of jobs with one shape.
+#[derive(Debug)]
+pub(crate) struct Line {
+    pub(crate) team: TeamId,
+    pub(crate) shape: ShapeId,
+    pub(crate) fifo: VecDeque<(JobRef, u64)>,
+    dead: usize,
+}
+
+/// One team's account.
+#[derive(Debug, Default)]
+pub(crate) struct Team {
+    pub(crate) share: f64,
+    pub(crate) allotment: Resources,
+    pub(crate) used: Resources,
+    pub(crate) decayed: f64,
+    pub(crate) lines: Vec<LineId>,
+    pub(crate) queued_jobs: u32,
+    /// Set when the allotment alone kept a task from starting.
+    pub(crate) short: Option<Resources>,
+}
+
+/// A shape with its search state.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    pub(crate) shape: Shape,
+    pub(crate) blocked: bool,
+}
+
+/// All jobs, lines, teams and shapes.
+#[derive(Debug, Default)]
+pub(crate) struct Queues {
+    pub(crate) jobs: Vec<Job>,
+    pub(crate) free_jobs: Vec<JobRef>,
+    pub(crate) lines: Vec<Line>,
+    pub(crate) teams: Vec<Team>,
+    pub(crate) shapes: Vec<Slot>,
+    shape_index: HashMap<Shape, ShapeId>,
+    line_index: HashMap<(TeamId, ShapeId), LineId>,
+    next_seq: u64,
+}
+
+impl Queues {
+    /// Index of `shape`, made on first use.
+    pub(crate) fn shape_id(&mut self, shape: Shape) -> ShapeId {
+        let shapes = &mut self.shapes;
+        *self.shape_index.entry(shape).or_insert_with(|| {
+            shapes.push(Slot {
+                shape,
+                blocked: false,
+            });
+            (shapes.len() - 1) as ShapeId
+        })
+    }
+
+    /// Index of the line of `team` and `shape`, made on first use.
+    pub(crate) fn line_id(&mut self, team: TeamId, shape: ShapeId) -> LineId {
+        let (lines, teams) = (&mut self.lines, &mut self.teams);
+        *self.line_index.entry((team, shape)).or_insert_with(|| {
+            lines.push(Line {
+                team,
+                shape,
+                fifo: VecDeque::with_capacity(DEAD_SLACK),
+                dead: 0,
+            });
+            let id = (lines.len() - 1) as LineId;
+            teams[team as usize].lines.push(id);
+            id
+        })
+    }
+
+    /// Next submission number.
+    pub(crate) fn next_seq(&mut self) -> u64 {
+        self.next_seq += 1;
+        self.next_seq
+    }
+
+    /// Puts a job with pending tasks into its line, unless it is there.
+    pub(crate) fn enqueue(&mut self, job: JobRef) {
+        let entry = &mut self.jobs[job as usize];
+        if entry.queued || entry.ended || entry.pending.is_empty() {
+            return;
+        }
+        entry.queued = true;
+        let (seq, line, team) = (entry.seq, entry.line, entry.team);
+        self.teams[team as usize].queued_jobs += 1;
+        let fifo = &mut self.lines[line as usize].fifo;
+        // A requeued job keeps its place by submission number.
+        let at = match fifo.back() {
+            Some((_, last)) if *last > seq => fifo.partition_point(|(_, s)| *s < seq),
+            _ => fifo.len(),
+        };
+        fifo.insert(at, (job, seq));
+    }
+
+    /// Takes a job out of its line; its entry is dropped later.
+    pub(crate) fn dequeue(&mut self, job: JobRef) {
+        let entry = &mut self.jobs[job as usize];
+        if !entry.queued {
+            return;
+        }
+        entry.queued = false;
+        self.teams[entry.team as usize].queued_jobs -= 1;
+        let line = entry.line as usize;
+        self.lines[line].dead += 1;
+        if self.lines[line].dead > self.lines[line].fifo.len() / 2 + DEAD_SLACK {
+            let jobs = &self.jobs;
+            self.lines[line].fifo.retain(|e| is_waiting(jobs, e));
+            self.lines[line].dead = 0;
+        }
+    }
+
+    /// First waiting job of a line; drops ended entries before it.
+    pub(crate) fn front(&mut self, line: LineId) -> Option<(JobRef, u64)> {
+        let line = &mut self.lines[line as usize];
+        while let Some(entry) = line.fifo.front().copied() {
+            if is_waiting(&self.jobs, &entry) {
+                return Some(entry);
+            }
+            line.fifo.pop_front();
+            line.dead = line.dead.saturating_sub(1);
+        }
+        None
+    }
+
+    /// Unblocks every shape that fits into `free`.
+    pub(crate) fn unblock(&mut self, free: &Resources) {
+        for slot in self.shapes.iter_mut().filter(|s| s.blocked) {
+            if slot.shape.each.fits(free) {
+                slot.blocked = false;
+            }
+        }
+    }
+}
+
+fn is_waiting(jobs: &[Job], entry: &(JobRef, u64)) -> bool {
+    let job = &jobs[entry.0 as usize];
+    job.seq == entry.1 && job.queued
+}
--- /dev/null
+++ b/crates/policy/src/tree.rs
@@ -0,0 +1,97 @@
+//! Segment tree over the free resources of workers.
+//!
+//! Each inner node holds the element-wise maximum of its children, so a search
+//! skips every subtree in which some resource is short. The search is exact:
+//! it finds a worker whenever one exists.
+//!
+//! Invariant: node `i` is the maximum of nodes `2i` and `2i + 1`.
+
+use model::Resources;
+
+/// Index of a leaf.
+pub(crate) type Leaf = u32;
+
+/// Tree of free resources.
+#[derive(Debug)]
+pub(crate) struct Tree {
+    nodes: Vec<Resources>,
+    width: usize,
+}
+
+impl Tree {
+    /// An empty tree.
+    pub(crate) fn new() -> Self {
+        Self {
+            nodes: vec![Resources::ZERO; 2],
+            width: 1,
+        }
+    }
+
+    /// Makes room for leaf `leaf`.
+    pub(crate) fn grow(&mut self, leaf: Leaf) {
+        let need = (leaf as usize + 1).next_power_of_two();
+        if need <= self.width {
+            return;
+        }
+        let mut nodes = vec![Resources::ZERO; need * 2];
+        nodes[need..need + self.width].copy_from_slice(&self.nodes[self.width..]);
+        self.nodes = nodes;
+        self.width = need;
+        for i in (1..need).rev() {
+            self.nodes[i] = self.nodes[2 * i].max(self.nodes[2 * i + 1]);
+        }
+    }
+
+    /// Sets the free resources of one leaf.
+    pub(crate) fn set(&mut self, leaf: Leaf, free: Resources) {
+        let mut i = self.width + leaf as usize;
+        self.nodes[i] = free;
+        while i > 1 {
+            i /= 2;
+            let top = self.nodes[2 * i].max(self.nodes[2 * i + 1]);
+            if self.nodes[i] == top {
+                return;
+            }
+            self.nodes[i] = top;
+        }
+    }
+
+    /// Free resources of one leaf.
+    pub(crate) fn get(&self, leaf: Leaf) -> Resources {
+        self.nodes[self.width + leaf as usize]
+    }
+
+    /// First leaf at or after `start` whose free resources hold `need`.
+    pub(crate) fn find(&self, start: Leaf, need: &Resources) -> Option<Leaf> {
+        self.descend(1, 0, self.width, start as usize, need)
+    }
+
+    fn descend(
+        &self,
+        node: usize,
+        low: usize,
+        high: usize,
+        start: usize,
+        need: &Resources,
+    ) -> Option<Leaf> {
+        if high <= start || !need.fits(&self.nodes[node]) {
+            return None;
+        }
+        if high - low == 1 {
+            return Leaf::try_from(low).ok();
+        }
+        let middle = low + (high - low) / 2;
+        self.descend(2 * node, low, middle, start, need)
+            .or_else(|| self.descend(2 * node + 1, middle, high, start, need))
+    }
+
+    /// Number of leaves that the tree can hold now.
+    pub(crate) fn width(&self) -> Leaf {
+        Leaf::try_from(self.width).unwrap_or(Leaf::MAX)
+    }
+
+    /// True when every inner node is the maximum of its children.
+    pub(crate) fn is_consistent(&self) -> bool {
+        (1..self.width).all(|i| self.nodes[i] == self.nodes[2 * i].max(self.nodes[2 * i + 1]))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/verify.rs
@@ -0,0 +1,85 @@
+//! Whole-state verifier, called by tests after every step.
+//!
+//! Invariant: `verify` never changes the engine.
+
+use model::Resources;
+
+use crate::engine::Engine;
+use crate::queue::{JobRef, TeamId};
+use crate::worker::WorkerId;
+
+/// A broken invariant.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Violation {
+    /// A worker runs more than it has.
+    #[error("worker {0} runs more than its capacity")]
+    Overcommitted(WorkerId),
+    /// A worker's free resources differ from its tasks.
+    #[error("worker {0} has a wrong count of free resources")]
+    Free(WorkerId),
+    /// A team's use differs from its tasks.
+    #[error("team {0} has a wrong count of used resources")]
+    Used(TeamId),
+    /// A task of a job runs twice.
+    #[error("task {1} of job {0} runs twice")]
+    Doubled(JobRef, u32),
+    /// A job's counts differ from its tasks.
+    #[error("job {0} has wrong counts")]
+    Counts(JobRef),
+    /// The search tree is out of date.
+    #[error("the search tree differs from worker {0}")]
+    Tree(WorkerId),
+    /// Part of a gang runs.
+    #[error("job {0} is a gang of which only a part was started")]
+    SplitGang(JobRef),
+}
+
+impl Engine {
+    /// Checks the whole state.
+    ///
+    /// # Errors
+    /// Returns the first violation found.
+    pub fn verify(&self) -> Result<(), Violation> {
+        let mut used = vec![Resources::ZERO; self.queues.teams.len()];
+        let mut running = vec![0_u32; self.queues.jobs.len()];
+        let mut seen = std::collections::HashSet::new();
+        for (id, worker) in self.workers.iter().enumerate() {
+            let id = id as WorkerId;
+            let mut sum = Resources::ZERO;
+            for task in &worker.tasks {
+                sum = sum.plus(task.each);
+                running[task.job as usize] += 1;
+                let team = self.queues.jobs[task.job as usize].team as usize;
+                used[team] = used[team].plus(task.each);
+                if !seen.insert((task.job, task.index)) {
+                    return Err(Violation::Doubled(task.job, task.index));
+                }
+            }
+            let tree = match worker.accelerated {
+                true => &self.accelerated,
+                false => &self.plain,
+            };
+            match () {
+                () if !sum.fits(&worker.capacity) => return Err(Violation::Overcommitted(id)),
+                () if worker.free != worker.capacity.minus(sum) => return Err(Violation::Free(id)),
+                () if !tree.get(worker.leaf).fits(&worker.free) => return Err(Violation::Tree(id)),
+                () => {}
+            }
+        }
+        if !self.plain.is_consistent() || !self.accelerated.is_consistent() {
+            return Err(Violation::Tree(WorkerId::MAX));
+        }
+        for (team, sum) in used.iter().enumerate() {
+            if self.queues.teams[team].used != *sum {
+                return Err(Violation::Used(team as TeamId));
+            }
+        }
+        for (id, job) in self.queues.jobs.iter().enumerate() {
+            let whole = job.running + job.completed + job.pending.len() as u32 == job.tasks;
+            if job.running != running[id] || (job.seq != 0 && !job.ended && !whole) {
+                return Err(Violation::Counts(id as JobRef));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/policy/src/worker.rs
@@ -0,0 +1,69 @@
+//! Workers and the attempts that run on them.
+//!
+//! Invariant: `free` is `capacity` less the sum of `tasks`, saturating at
+//! zero when a worker reports more than it has.
+
+use model::{Attempt, Resources, TaskIndex};
+
+use crate::health::Health;
+use crate::queue::JobRef;
+use crate::tree::Leaf;
+
+/// Dense index of a worker.
+pub type WorkerId = u32;
+
+/// Whether a worker takes new tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Takes tasks.
+    Open,
+    /// Leaves; runs what it has and takes nothing new.
+    Leaving,
+    /// Not reachable or removed; its tasks' fate is decided by the caller.
+    Lost,
+}
+
+/// One running attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct Task {
+    pub(crate) job: JobRef,
+    pub(crate) index: TaskIndex,
+    pub(crate) attempt: Attempt,
+    pub(crate) each: Resources,
+    pub(crate) started_ms: u64,
+    pub(crate) stopping: bool,
+}
+
+/// One worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) capacity: Resources,
+    pub(crate) free: Resources,
+    pub(crate) rack: u16,
+    pub(crate) leaf: Leaf,
+    pub(crate) accelerated: bool,
+    pub(crate) state: State,
+    pub(crate) reserved_for: Option<JobRef>,
+    pub(crate) health: Health,
+    pub(crate) tasks: Vec<Task>,
+}
+
+impl Worker {
+    /// Resources offered to work without a reservation at `now_ms`.
+    pub(crate) fn offered(&self, now_ms: u64) -> Resources {
+        match self {
+            w if w.state != State::Open || w.reserved_for.is_some() => Resources::ZERO,
+            w if !w.health.takes_work(now_ms, w.tasks.len()) => Resources::ZERO,
+            w => w.free,
+        }
+    }
+
+    /// Recomputes `free` from the running tasks.
+    pub(crate) fn recount(&mut self) {
+        let used = self
+            .tasks
+            .iter()
+            .fold(Resources::ZERO, |sum, t| sum.plus(t.each));
+        self.free = self.capacity.minus(used);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/cell/daemons.rs
@@ -0,0 +1,265 @@
+//! The daemons of a cell as child processes.
+//!
+//! Invariant: only processes started here are signalled, by their ids.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::format_compact;
+use model::{Name, key};
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::time::Instant;
+
+use crate::cell::relay::{self, Link};
+use crate::cell::world::World;
+use crate::deployment::Deployment;
+
+/// Operators' token of every cell.
+pub(crate) const ADMIN_TOKEN: &str = "cell-operator-token";
+/// Time allowed for a graceful shutdown.
+const STOP_TIME: Duration = Duration::from_secs(35);
+
+/// One daemon.
+pub(crate) struct Daemon {
+    pub(crate) name: Name,
+    pub(crate) data_centre: Name,
+    pub(crate) callers: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    mesh: SocketAddr,
+    platform: SocketAddr,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// Processor time and memory of a daemon.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Usage {
+    pub(crate) cpu: Duration,
+    pub(crate) rss_bytes: u64,
+}
+
+/// All daemons with the links between them.
+pub(crate) struct Daemons {
+    pub(crate) list: Vec<Daemon>,
+    /// Link from the first daemon to the second, by index.
+    pub(crate) links: Vec<(usize, usize, Arc<Link>)>,
+    folder: tempfile::TempDir,
+}
+
+/// A free loopback port. It may be taken by another process before it is
+/// used; the daemon then fails to start and says so.
+fn free_port(udp: bool) -> std::io::Result<SocketAddr> {
+    match udp {
+        true => std::net::UdpSocket::bind("127.0.0.1:0")?.local_addr(),
+        false => std::net::TcpListener::bind("127.0.0.1:0")?.local_addr(),
+    }
+}
+
+impl Daemons {
+    /// Starts one daemon for each entry VM of the deployment.
+    pub(crate) async fn start(deployment: &Deployment, world: &Arc<World>) -> eyre::Result<Self> {
+        world.serve_hosts().await?;
+        let mut daemons = Self {
+            list: Vec::new(),
+            links: Vec::new(),
+            folder: tempfile::tempdir()?,
+        };
+        for (data_centre, count) in &deployment.data_centres {
+            for index in 0..*count {
+                daemons.list.push(Daemon {
+                    name: format_compact!("{data_centre}-e{index}"),
+                    data_centre: data_centre.clone(),
+                    callers: free_port(false)?,
+                    admin: free_port(false)?,
+                    mesh: free_port(true)?,
+                    platform: world.open_door().await?,
+                    settings: PathBuf::new(),
+                    child: None,
+                });
+            }
+        }
+        daemons.write_settings(deployment, world).await?;
+        for daemon in &mut daemons.list {
+            daemon.spawn()?;
+        }
+        Ok(daemons)
+    }
+
+    async fn write_settings(
+        &mut self,
+        deployment: &Deployment,
+        world: &Arc<World>,
+    ) -> eyre::Result<()> {
+        let pair = rcgen::generate_simple_self_signed(vec!["greengagemast.mesh".to_owned()])?;
+        for at in 0..self.list.len() {
+            let mut peers = Vec::new();
+            for to in (0..self.list.len()).filter(|to| *to != at) {
+                let link = Arc::new(Link::default());
+                let near = self.list[at].data_centre == self.list[to].data_centre;
+                let delay_us = if near { 200 } else { deployment.delay_us };
+                let delay = Duration::from_micros(delay_us);
+                let target = self.list[to].mesh;
+                let address = relay::start(target, delay, world.started, link.clone()).await?;
+                self.links.push((at, to, link));
+                peers.push(serde_json::json!({
+                    "name": self.list[to].name,
+                    "data_centre": self.list[to].data_centre,
+                    "address": address,
+                }));
+            }
+            let daemon = &mut self.list[at];
+            // JSON is YAML, too.
+            let settings = serde_json::json!({
+                "name": daemon.name,
+                "data_centre": daemon.data_centre,
+                "data_centres": deployment.data_centre_names(),
+                "listen": {
+                    "callers": daemon.callers,
+                    "admin": daemon.admin,
+                    "mesh": daemon.mesh,
+                },
+                "admin_token_sha256": key::hash(ADMIN_TOKEN),
+                "mesh": {
+                    "certificate": pair.cert.pem(),
+                    "key": pair.signing_key.serialize_pem(),
+                },
+                "peers": peers,
+                "platform": { "table": daemon.platform, "vms": daemon.platform },
+                "initial": deployment.config,
+            });
+            daemon.settings = self.folder.path().join(format!("{}.yaml", daemon.name));
+            std::fs::write(&daemon.settings, serde_json::to_vec_pretty(&settings)?)?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every daemon is ready and every data centre has an owner.
+    pub(crate) async fn wait_ready(&self, limit: Duration) -> eyre::Result<()> {
+        let until = Instant::now() + limit;
+        for daemon in &self.list {
+            while !daemon.owns_or_sees_owner().await {
+                if Instant::now() >= until {
+                    eyre::bail!("{} is not ready", daemon.name);
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Processor time and memory of each daemon; none for a dead one.
+    pub(crate) fn usage(&self) -> Vec<Option<Usage>> {
+        self.list.iter().map(Daemon::usage).collect()
+    }
+
+    /// Stops all daemons.
+    pub(crate) async fn stop(mut self) {
+        for daemon in &mut self.list {
+            daemon.kill();
+        }
+    }
+}
+
+impl Daemon {
+    /// Starts the process: this program again, in the daemon's role.
+    pub(crate) fn spawn(&mut self) -> eyre::Result<()> {
+        let program = std::env::current_exe()?;
+        let log = self.settings.with_extension("log");
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)?;
+        let child = Command::new(program)
+            .env("GREENGAGEMAST_CELL_ROLE", "daemon")
+            .arg("serve")
+            .arg("--config")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::from(log.try_clone()?))
+            .stderr(Stdio::from(log))
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Kills the process at once.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = self
+            .child
+            .as_ref()
+            .and_then(|c| Pid::from_raw(c.id() as i32));
+        if let Some(pid) = pid {
+            // It may have ended by itself.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Asks for a graceful shutdown and waits for it; false when it took too
+    /// long.
+    pub(crate) async fn terminate(&mut self) -> bool {
+        self.signal(Signal::TERM);
+        let until = Instant::now() + STOP_TIME;
+        while Instant::now() < until {
+            let ended = self.child.as_mut().map(Child::try_wait);
+            if matches!(ended, None | Some(Ok(Some(_)) | Err(_))) {
+                self.child = None;
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.kill();
+        false
+    }
+
+    async fn owns_or_sees_owner(&self) -> bool {
+        let Some(fleet) = crate::cell::client::fleet(self.admin).await else {
+            return false;
+        };
+        let loads = fleet["loads"].as_array().map_or(0, Vec::len);
+        let centres = fleet["peers"].as_array().map(|peers| {
+            let mut names: Vec<&str> = peers
+                .iter()
+                .filter_map(|p| p["data_centre"].as_str())
+                .chain([self.data_centre.as_str()])
+                .collect();
+            names.sort_unstable();
+            names.dedup();
+            names.len()
+        });
+        fleet["config"].as_u64() > Some(0)
+            && centres == Some(loads)
+            && fleet["keys_verifiable"].as_bool() == Some(true)
+    }
+
+    fn usage(&self) -> Option<Usage> {
+        let pid = self.child.as_ref()?.id();
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        // Fields 14 and 15 of proc(5), in ticks of 10 ms; two fields are gone.
+        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let memory = std::fs::read_to_string(format!("/proc/{pid}/statm")).ok()?;
+        let pages: u64 = memory.split_whitespace().nth(1)?.parse().ok()?;
+        Some(Usage {
+            cpu: Duration::from_millis(ticks * 10),
+            rss_bytes: pages * 4_096,
+        })
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/ledger.rs
@@ -0,0 +1,206 @@
+//! What truly ran, as the stand-ins saw it.
+//!
+//! Invariant: counts of broken promises only grow.
+
+use std::collections::{BTreeMap, HashMap};
+
+use model::{JobId, Name, Resources, TaskIndex};
+
+/// Time after an announcement during which work may still arrive, in ms.
+pub const GRACE_MS: u64 = 5_000;
+
+/// Broken promises.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Broken {
+    /// Workers committed beyond their capacity.
+    pub overcommitted: u64,
+    /// Teams above their limit.
+    pub over_limit: u64,
+    /// Tasks running in two places at once.
+    pub doubled_tasks: u64,
+    /// Runs of a non-idempotent request after its first.
+    pub doubled_requests: u64,
+    /// Work sent to a backend server after it was leaving.
+    pub work_after_leaving: u64,
+    /// Runs beyond an executor's slots.
+    pub overfull_executors: u64,
+}
+
+#[derive(Debug, Default)]
+struct Vm {
+    capacity: Resources,
+    used: Resources,
+    leaving_since: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Usage {
+    limit: Option<Resources>,
+    used: Resources,
+}
+
+/// The ledger.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    vms: HashMap<Name, Vm>,
+    teams: BTreeMap<Name, Usage>,
+    places: HashMap<(JobId, TaskIndex), Vec<Name>>,
+    runs: HashMap<Name, u64>,
+    /// First start of each job.
+    pub first_start: HashMap<JobId, u64>,
+    /// Broken promises.
+    pub broken: Broken,
+    /// Tasks started.
+    pub started: u64,
+    /// Tasks completed, counted once each.
+    pub completed: HashMap<(JobId, TaskIndex), u64>,
+    /// Starts in each second.
+    pub starts_by_second: BTreeMap<u64, u64>,
+    /// Details of the first broken promises, for the reader.
+    pub details: Vec<String>,
+}
+
+/// Most details kept.
+const MAX_DETAILS: usize = 20;
+
+impl Ledger {
+    /// Registers a worker.
+    pub fn add_vm(&mut self, name: &Name, capacity: Resources) {
+        let vm = self.vms.entry(name.clone()).or_default();
+        vm.capacity = capacity;
+    }
+
+    /// Sets a team's limit.
+    pub fn set_limit(&mut self, team: &Name, limit: Option<Resources>) {
+        self.teams.entry(team.clone()).or_default().limit = limit;
+    }
+
+    /// A worker was announced to leave.
+    pub fn leaving(&mut self, name: &Name, now_ms: u64) {
+        let vm = self.vms.entry(name.clone()).or_default();
+        vm.leaving_since.get_or_insert(now_ms);
+    }
+
+    fn detail(&mut self, text: String) {
+        if self.details.len() < MAX_DETAILS {
+            self.details.push(text);
+        }
+    }
+
+    fn take(&mut self, vm: &Name, team: &Name, each: Resources, now_ms: u64) {
+        let usage = self.teams.entry(team.clone()).or_default();
+        usage.used = usage.used.plus(each);
+        if usage.limit.is_some_and(|limit| !usage.used.fits(&limit)) {
+            self.broken.over_limit += 1;
+            let used = usage.used;
+            self.detail(format!("{now_ms} ms: team {team} uses {used:?}"));
+        }
+        let leaving = self.vms.get(vm).and_then(|v| v.leaving_since);
+        if leaving.is_some_and(|since| now_ms > since + GRACE_MS) {
+            self.broken.work_after_leaving += 1;
+            self.detail(format!(
+                "{now_ms} ms: work for {vm}, leaving since {leaving:?}"
+            ));
+        }
+    }
+
+    fn give(&mut self, team: &Name, each: Resources) {
+        let usage = self.teams.entry(team.clone()).or_default();
+        usage.used = usage.used.minus(each);
+    }
+
+    /// A task started on a worker.
+    pub fn task_started(
+        &mut self,
+        vm: &Name,
+        job: &JobId,
+        task: TaskIndex,
+        team: &Name,
+        each: Resources,
+        now_ms: u64,
+    ) {
+        self.started += 1;
+        *self.starts_by_second.entry(now_ms / 1_000).or_default() += 1;
+        self.take(vm, team, each, now_ms);
+        let entry = self.vms.entry(vm.clone()).or_default();
+        entry.used = entry.used.plus(each);
+        if !entry.used.fits(&entry.capacity) {
+            self.broken.overcommitted += 1;
+            let used = entry.used;
+            self.detail(format!("{now_ms} ms: {vm} holds {used:?}"));
+        }
+        let places = self.places.entry((job.clone(), task)).or_default();
+        places.push(vm.clone());
+        if places.len() > 1 {
+            self.broken.doubled_tasks += 1;
+            let places = places.clone();
+            self.detail(format!("{now_ms} ms: task {task} of {job} on {places:?}"));
+        }
+        self.first_start.entry(job.clone()).or_insert(now_ms);
+    }
+
+    /// A task ended on a worker.
+    pub fn task_ended(
+        &mut self,
+        vm: &Name,
+        job: &JobId,
+        task: TaskIndex,
+        team: &Name,
+        each: Resources,
+        completed: bool,
+    ) {
+        self.give(team, each);
+        let entry = self.vms.entry(vm.clone()).or_default();
+        entry.used = entry.used.minus(each);
+        let key = (job.clone(), task);
+        if let Some(places) = self.places.get_mut(&key) {
+            if let Some(at) = places.iter().position(|p| p == vm) {
+                places.swap_remove(at);
+            }
+            if places.is_empty() {
+                self.places.remove(&key);
+            }
+        }
+        if completed {
+            *self.completed.entry(key).or_default() += 1;
+        }
+    }
+
+    /// A request started on an executor; `once` names non-idempotent ones.
+    pub fn run_started(&mut self, vm: &Name, team: &Name, request: &Name, once: bool, now_ms: u64) {
+        self.take(vm, team, Resources::of(0, 0, 0, 1), now_ms);
+        let runs = self.runs.entry(request.clone()).or_default();
+        *runs += 1;
+        if once && *runs > 1 {
+            self.broken.doubled_requests += 1;
+            self.detail(format!("{now_ms} ms: request {request} runs again"));
+        }
+    }
+
+    /// A request ended on an executor.
+    pub fn run_ended(&mut self, team: &Name) {
+        self.give(team, Resources::of(0, 0, 0, 1));
+    }
+
+    /// True when a request ever ran.
+    #[must_use]
+    pub fn ran(&self, request: &Name) -> bool {
+        self.runs.contains_key(request)
+    }
+
+    /// Resources in use by each team.
+    #[must_use]
+    pub fn usage(&self) -> BTreeMap<Name, Resources> {
+        self.teams
+            .iter()
+            .map(|(n, u)| (n.clone(), u.used))
+            .collect()
+    }
+
+    /// Fraction of all processors that tasks hold.
+    #[must_use]
+    pub fn packing(&self) -> f64 {
+        let sum = |f: &dyn Fn(&Vm) -> u32| self.vms.values().map(|v| f64::from(f(v))).sum::<f64>();
+        sum(&|v| v.used.millicpus) / sum(&|v| v.capacity.millicpus).max(1.0)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/naive.rs
@@ -0,0 +1,1 @@
+//! Naive placement.
--- /dev/null
+++ b/crates/standin/src/table.rs
@@ -0,0 +1,84 @@
+//! A table service in memory, with versions, transactions and faults.
+//!
+//! Invariant: a transaction takes effect whole or not at all, and each write
+//! gets a version higher than every earlier one.
+
+use std::collections::BTreeMap;
+
+use control::{Answered, Tables};
+use model::{Cell, Fault, Name, Row, Transaction};
+
+/// The rows.
+#[derive(Debug, Default)]
+pub struct Table {
+    rows: BTreeMap<Name, Cell>,
+    version: u64,
+    /// Commit calls served.
+    pub commits: u64,
+}
+
+impl Table {
+    /// Serves one call.
+    pub fn serve(&mut self, call: &Tables) -> Answered {
+        match call {
+            Tables::Read(rows) => {
+                Answered::Rows(rows.iter().map(|(k, v)| self.read(k, *v)).collect())
+            }
+            Tables::Scan { prefix, after } => self.scan(prefix, *after),
+            Tables::Commit(transactions) => {
+                self.commits += 1;
+                Answered::Committed(transactions.iter().map(|t| self.commit(t)).collect())
+            }
+        }
+    }
+
+    fn read(&self, key: &Name, known: u64) -> (Name, Option<Cell>) {
+        let cell = self.rows.get(key).cloned().unwrap_or_default();
+        let unchanged = known > 0 && cell.version == known;
+        (key.clone(), (!unchanged).then_some(cell))
+    }
+
+    fn scan(&self, prefix: &Name, after: u64) -> Answered {
+        let from = self.rows.range(prefix.clone()..);
+        let rows = from
+            .take_while(|(key, _)| key.starts_with(prefix.as_str()))
+            .filter(|(_, cell)| cell.version > after)
+            .map(|(key, cell)| Row {
+                key: key.clone(),
+                cell: cell.clone(),
+            })
+            .collect();
+        Answered::Scanned(rows, self.version)
+    }
+
+    fn commit(&mut self, transaction: &Transaction) -> Result<u64, Fault> {
+        for condition in &transaction.conditions {
+            let version = self.rows.get(&condition.key).map_or(0, |c| c.version);
+            if version != condition.version {
+                return Err(Fault::Condition(condition.key.clone()));
+            }
+        }
+        self.version += 1;
+        for write in &transaction.writes {
+            match &write.value {
+                Some(value) => {
+                    let cell = Cell {
+                        version: self.version,
+                        value: value.clone(),
+                    };
+                    self.rows.insert(write.key.clone(), cell);
+                }
+                None => {
+                    self.rows.remove(&write.key);
+                }
+            }
+        }
+        Ok(self.version)
+    }
+
+    /// Content of one row.
+    #[must_use]
+    pub fn get(&self, key: &Name) -> Option<&Cell> {
+        self.rows.get(key)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker.rs
@@ -0,0 +1,216 @@
+//! A worker in memory.
+//!
+//! Invariant: a task runs until it is done, stopped, or its lease lapses; each
+//! attempt starts at most once; a call of an older epoch, or not newer than
+//! the last one, changes nothing.
+
+use std::collections::BTreeSet;
+
+use model::{
+    Attempt, Call, Ended, Epoch, Finished, JobId, Name, Report, Resources, Running, Start,
+    TaskIndex,
+};
+
+/// Time that a checkpoint takes, in ms.
+const CHECKPOINT_MS: u64 = 300;
+/// Time after which an unowned attempt number may be forgotten.
+const MAX_SEEN: usize = 65_536;
+
+/// How the worker misbehaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// Fails every task as soon as it starts.
+    pub black_hole: bool,
+    /// Accepts calls of superseded epochs.
+    pub unfenced: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    start: Start,
+    started_ms: u64,
+    ends_ms: u64,
+    ended: Ended,
+}
+
+/// Something that the ledger has to know.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Happening {
+    /// A task started.
+    Started(Start),
+    /// A task ended.
+    Ended(Start, Ended),
+}
+
+/// The worker.
+#[derive(Debug)]
+pub struct Worker {
+    /// Name.
+    pub name: Name,
+    /// Faults.
+    pub faults: Faults,
+    epoch: Epoch,
+    holder: Name,
+    seq: u64,
+    contact_ms: u64,
+    lease_until_ms: u64,
+    tasks: Vec<Task>,
+    finished: Vec<Finished>,
+    seen: BTreeSet<(JobId, TaskIndex, Attempt)>,
+    /// What happened since it was last taken.
+    pub happenings: Vec<Happening>,
+}
+
+impl Worker {
+    /// An idle worker.
+    #[must_use]
+    pub fn new(name: &Name) -> Self {
+        Self {
+            name: name.clone(),
+            faults: Faults::default(),
+            epoch: 0,
+            holder: Name::default(),
+            seq: 0,
+            contact_ms: 0,
+            lease_until_ms: 0,
+            tasks: Vec::new(),
+            finished: Vec::new(),
+            seen: BTreeSet::new(),
+            happenings: Vec::new(),
+        }
+    }
+
+    /// Serves one call.
+    pub fn call(&mut self, call: &Call, now_ms: u64) -> Report {
+        self.advance(now_ms);
+        let survey = call.holder.is_empty();
+        let newer = call.epoch > self.epoch;
+        let current = call.epoch == self.epoch && call.holder == self.holder && call.seq > self.seq;
+        let accepted = !survey && (newer || current || self.faults.unfenced);
+        if accepted {
+            self.epoch = self.epoch.max(call.epoch);
+            self.holder = call.holder.clone();
+            self.seq = call.seq;
+            self.contact_ms = now_ms;
+            self.lease_until_ms = now_ms + call.lease_ms;
+            self.obey(call, now_ms);
+        }
+        Report {
+            epoch: self.epoch,
+            holder: self.holder.clone(),
+            contact_ms: now_ms - self.contact_ms,
+            accepted,
+            running: self.tasks.iter().map(running).collect(),
+            finished: self.finished.clone(),
+        }
+    }
+
+    fn obey(&mut self, call: &Call, now_ms: u64) {
+        self.finished
+            .retain(|f| !call.acks.contains(&(f.job.clone(), f.task, f.attempt)));
+        for start in &call.starts {
+            self.start(start, now_ms);
+        }
+        for stop in &call.stops {
+            let wait = if stop.checkpoint { CHECKPOINT_MS } else { 0 };
+            let same = |t: &&mut Task| {
+                t.start.job == stop.job
+                    && t.start.task == stop.task
+                    && t.start.attempt == stop.attempt
+            };
+            if let Some(task) = self.tasks.iter_mut().find(same)
+                && now_ms + wait < task.ends_ms
+            {
+                task.ends_ms = now_ms + wait;
+                task.ended = Ended::Stopped;
+            }
+        }
+        self.advance(now_ms);
+    }
+
+    fn start(&mut self, start: &Start, now_ms: u64) {
+        let key = (start.job.clone(), start.task, start.attempt);
+        if !self.seen.insert(key) {
+            return;
+        }
+        if self.seen.len() > MAX_SEEN {
+            self.seen.pop_first();
+        }
+        let (run_ms, ended) = true_run(start, self.faults);
+        self.happenings.push(Happening::Started(start.clone()));
+        self.tasks.push(Task {
+            start: start.clone(),
+            started_ms: now_ms,
+            ends_ms: now_ms.saturating_add(run_ms),
+            ended,
+        });
+    }
+
+    /// Ends what is due by `now_ms`.
+    pub fn advance(&mut self, now_ms: u64) {
+        let lapsed = now_ms >= self.lease_until_ms;
+        let mut at = 0;
+        while at < self.tasks.len() {
+            let task = &self.tasks[at];
+            let over = task.ends_ms <= now_ms;
+            if !over && !lapsed {
+                at += 1;
+                continue;
+            }
+            let task = self.tasks.swap_remove(at);
+            let ended = if over { task.ended } else { Ended::Lapsed };
+            self.finished.push(Finished {
+                job: task.start.job.clone(),
+                task: task.start.task,
+                attempt: task.start.attempt,
+                ended,
+                ran_ms: now_ms - task.started_ms,
+            });
+            self.happenings.push(Happening::Ended(task.start, ended));
+        }
+    }
+
+    /// The VM stops: everything on it ends and is forgotten.
+    pub fn kill(&mut self) {
+        for task in self.tasks.drain(..) {
+            self.happenings
+                .push(Happening::Ended(task.start, Ended::Lapsed));
+        }
+        self.finished.clear();
+        self.seen.clear();
+        (self.epoch, self.seq, self.contact_ms, self.lease_until_ms) = (0, 0, 0, 0);
+        self.holder = Name::default();
+    }
+
+    /// Resources that running tasks hold.
+    #[must_use]
+    pub fn used(&self) -> Resources {
+        let each = self.tasks.iter().map(|t| t.start.each);
+        each.fold(Resources::ZERO, Resources::plus)
+    }
+}
+
+fn running(task: &Task) -> Running {
+    Running {
+        job: task.start.job.clone(),
+        task: task.start.task,
+        attempt: task.start.attempt,
+        each: task.start.each,
+    }
+}
+
+/// True run time and end of a task: the payload `run:N` says N ms, `fail:N`
+/// fails after N ms; otherwise the declared time is true.
+fn true_run(start: &Start, faults: Faults) -> (u64, Ended) {
+    if faults.black_hole {
+        return (0, Ended::Failed);
+    }
+    let number = |text: &str| text.parse().ok();
+    let run = start.payload.strip_prefix("run:").and_then(number);
+    let fail = start.payload.strip_prefix("fail:").and_then(number);
+    match (run, fail) {
+        (Some(ms), _) => (ms, Ended::Completed),
+        (_, Some(ms)) => (ms, Ended::Failed),
+        _ => (start.run_ms, Ended::Completed),
+    }
+}
