Skip shapes that fit nowhere before choosing a job

Cause: with a full fleet each freed worker unblocked every shape, and each failing shape cost one full pass over teams and lines.

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -515,6 +515,7 @@
         self.serve_reservation(out);
         let stop_at = out.len() + max;
         while out.len() < stop_at {
+            self.block_unplaceable();
             let Some((line, job)) = self.pick() else {
                 return;
             };
--- a/crates/policy/src/gang.rs
+++ b/crates/policy/src/gang.rs
@@ -169,6 +169,7 @@
         self.set_reserved(&reservation.workers, Some(job));
         self.reservation = Some(reservation);
         self.preempt_for_reservation(out);
+        self.backfill(out);
     }
 
     fn place_gang_quietly(&mut self, job: JobRef, shape: &Shape, out: &mut Vec<Decision>) -> bool {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! less its running tasks, each team's use equals the sum of its tasks, and no
 //! team holds more than its allotment gained through a placement.
 
+pub(crate) mod backfill;
 pub(crate) mod engine;
 pub(crate) mod explain;
 pub(crate) mod gang;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -91,7 +91,7 @@
 }
 
 /// A shape with its search state.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Slot {
     pub(crate) shape: Shape,
     pub(crate) blocked: bool,
--- a/crates/policy/src/select.rs
+++ b/crates/policy/src/select.rs
@@ -6,7 +6,7 @@
 use model::{Order, Resources, Work};
 
 use crate::engine::{Decision, Engine};
-use crate::queue::{JobRef, LineId, Shape, TeamId};
+use crate::queue::{JobRef, LineId, Shape, Slot, TeamId};
 use crate::tree::Tree;
 use crate::worker::WorkerId;
 
@@ -32,6 +32,24 @@
         }
     }
 
+    /// Blocks the shapes that fit nowhere now, so that `pick` chooses only
+    /// among lines whose next task can start. Gangs and urgent work are left
+    /// to `place_job`, which reserves or preempts for them.
+    pub(crate) fn block_unplaceable(&mut self) {
+        for at in 0..self.queues.shapes.len() {
+            let Slot { shape, blocked } = self.queues.shapes[at];
+            let plain = shape.work != Work::Gang && !shape.urgent;
+            if plain && !blocked && !self.fits_somewhere(&shape.each) {
+                self.queues.shapes[at].blocked = true;
+            }
+        }
+    }
+
+    fn fits_somewhere(&self, each: &Resources) -> bool {
+        let plain = each.accelerators == 0 && self.plain.find(0, each).is_some();
+        plain || self.accelerated.find(0, each).is_some()
+    }
+
     /// The next line with a job that may be able to start.
     pub(crate) fn pick(&mut self) -> Option<(LineId, JobRef)> {
         let mut best: Option<(Rank, LineId, JobRef)> = None;
