--- a/crates/control/src/allotment.rs
+++ b/crates/control/src/allotment.rs
@@ -12,10 +12,9 @@
 use std::time::Duration;
 
 use compact_str::format_compact;
-use model::{Condition, Fault, Name, Resources, Transaction};
+use model::{Condition, Fault, Name, Resources, Row, Transaction};
 use serde::{Deserialize, Serialize};
 
-use crate::event::Tables;
 use crate::node::Node;
 use crate::notice::Notice;
 use crate::store::{Answered, Purpose, version_of};
@@ -23,12 +22,12 @@
 
 /// Time allowed for a move.
 const MOVE_TIME: Duration = Duration::from_secs(3);
-/// Period of reads of the rows.
-const SCAN_PERIOD: Duration = Duration::from_millis(1_000);
 /// Pause between two moves of one team.
-const MOVE_PAUSE: Duration = Duration::from_millis(500);
-/// Tasks' worth of room that is asked for at a time.
-const ASK_AHEAD: u32 = 4;
+const MOVE_PAUSE: Duration = Duration::from_millis(200);
+/// Tasks' worth of room that is asked for beyond the one that waits.
+const ASK_AHEAD: u32 = 3;
+/// Part of a team's limit that may be asked for ahead.
+const AHEAD_PART: u32 = 8;
 
 /// Row of a team's parts.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -56,7 +55,6 @@
     entries: BTreeMap<Name, Entry>,
     pub(crate) loaded: bool,
     scanned: u64,
-    next_scan: Duration,
 }
 
 impl Node {
@@ -87,24 +85,12 @@
         self.owner.engine.used(id).plus(slots)
     }
 
-    pub(crate) fn scan_allotments(&mut self) {
-        let purpose = Purpose::Allotments(self.owner.data_centre.clone());
-        if self.store.has(&purpose) {
-            return;
-        }
-        let scan = Tables::Scan {
-            prefix: Name::from("allot/"),
-            after: self.owner.allotments.scanned,
-        };
-        self.owner.allotments.next_scan = self.now + SCAN_PERIOD;
-        let effect = self.store.read(scan, purpose, self.now);
-        self.out.push(effect);
+    /// Prefix of the allotment rows and the version seen so far.
+    pub(crate) fn allotments_prefix(&self) -> (Name, u64) {
+        (Name::from("allot/"), self.owner.allotments.scanned)
     }
 
-    pub(crate) fn allotments_scanned(&mut self, result: Result<Answered, Fault>) {
-        let Ok(Answered::Scanned(rows, version)) = result else {
-            return;
-        };
+    pub(crate) fn allotments_scanned(&mut self, (rows, version): (Vec<Row>, u64)) {
         if !self.owner.holds_epoch() {
             return;
         }
@@ -146,9 +132,6 @@
         if !self.owner.holds_epoch() {
             return;
         }
-        if self.owner.allotments.next_scan <= self.now {
-            self.scan_allotments();
-        }
         if !self.may_act() || self.store.is_down() {
             return;
         }
@@ -190,7 +173,10 @@
         let wanted = wanted_elsewhere.fold(Resources::ZERO, |sum, (_, w)| sum.plus(*w));
         let room = limit.minus(others);
         let target = match need.is_zero() {
-            false => used.plus(need.times(ASK_AHEAD)).max(part).min(room),
+            false => {
+                let ahead = need.times(ASK_AHEAD).min(limit.split(AHEAD_PART));
+                used.plus(need).plus(ahead).max(part).min(room)
+            }
             true => part.min(room).minus(wanted.min(part.minus(used))),
         };
         let enough = used.plus(need).fits(&target);
@@ -235,7 +221,7 @@
             ],
             writes: vec![row(&key, &parts)],
         };
-        let purpose = Purpose::Allot(self.owner.data_centre.clone(), team.clone());
+        let purpose = Purpose::Allot(self.owner.record.epoch, team.clone());
         if !self.store.write(transaction, purpose, now + MOVE_TIME) {
             self.allot_written(team, &Err(Fault::Unavailable));
         }
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -1,7 +1,9 @@
 //! Calls to workers: claims, renewals, orders and what the reports say.
 //!
-//! Orders stay queued until a report shows that the worker has them, so a lost
-//! call is repeated by the next one. One call is in flight per worker.
+//! One call at a time watches each worker: the worker holds its answer until
+//! something changes there. Orders go at once in a call of their own and stay
+//! queued until a report shows that the worker has them, so a lost call is
+//! repeated by the next one.
 //!
 //! Invariant: after an accepted report the engine holds exactly the attempts
 //! that the worker runs, plus those whose order is still queued.
@@ -19,6 +21,12 @@
 use crate::notice::Notice;
 use crate::owner::Tenure;
 
+/// Pause between two watches of one worker.
+const WATCH_PAUSE: Duration = Duration::from_millis(20);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Longest watch while only workers can confirm the ownership.
+const WITNESS_WATCH: Duration = Duration::from_millis(1_000);
 /// Failed calls in a row after which a worker's leases are not renewed.
 const MAX_MISSES: u32 = 2;
 
@@ -44,7 +52,10 @@
     acks: Vec<(JobId, TaskIndex, Attempt)>,
     /// Time at which leases were last renewed by a call that was sent.
     renewed: Option<Duration>,
-    in_flight: bool,
+    /// Version of the last report taken in.
+    version: u64,
+    busy: bool,
+    watched: bool,
 }
 
 impl Backend {
@@ -65,7 +76,9 @@
             stops: Vec::new(),
             acks: Vec::new(),
             renewed: None,
-            in_flight: false,
+            version: 0,
+            busy: false,
+            watched: false,
         }
     }
 
@@ -79,7 +92,9 @@
         self.stops.clear();
         self.acks.clear();
         self.renewed = None;
-        self.in_flight = false;
+        self.version = 0;
+        self.busy = false;
+        self.watched = false;
     }
 
     fn has_orders(&self) -> bool {
@@ -87,13 +102,24 @@
     }
 }
 
+/// What a call is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// Asks for a report; claims and renews nothing.
+    Survey,
+    /// Claims the worker and carries orders.
+    Order,
+    /// Renews leases and waits for a change.
+    Watch,
+}
+
 /// A call in flight.
 #[derive(Debug)]
 pub(crate) struct Contact {
     worker: usize,
     epoch: Epoch,
     sent: Duration,
-    survey: bool,
+    kind: Kind,
     starts: usize,
     stops: usize,
     acks: usize,
@@ -119,33 +145,58 @@
         }
     }
 
-    fn call(&mut self, at: usize) {
+    fn kind_of_call(&self, at: usize) -> Option<Kind> {
         let acting = match self.owner.tenure {
             Tenure::Claiming { .. } => true,
             Tenure::Active => self.may_act(),
             Tenure::Surveying { .. } => false,
-            _ => return,
+            _ => return None,
         };
-        let worker = &mut self.owner.workers[at];
-        if worker.in_flight || worker.life == Life::Gone {
-            return;
+        let worker = &self.owner.workers[at];
+        match worker {
+            w if w.life == Life::Gone => None,
+            w if !acting || w.misses >= MAX_MISSES => (!w.busy).then_some(Kind::Survey),
+            w if !w.busy && (w.has_orders() || !w.claimed) => Some(Kind::Order),
+            w if !w.busy && !w.watched => Some(Kind::Watch),
+            _ => None,
         }
-        // A worker that was silent is surveyed first: a renewal that it gets
-        // without our knowing would put off the time its tasks surely end.
-        let survey = !acting || worker.misses >= MAX_MISSES;
-        worker.in_flight = true;
-        worker.next_call = self.now + self.settings.timing.sync;
+    }
+
+    fn call(&mut self, at: usize) {
+        let Some(kind) = self.kind_of_call(at) else {
+            return;
+        };
+        let by_store = self.confirmed_by_store();
+        let worker = &mut self.owner.workers[at];
         let mut call = Call {
             epoch: self.owner.record.epoch,
             lease_ms: self.settings.timing.task_lease.as_millis() as u64,
             ..Call::default()
         };
-        if !survey {
+        worker.next_call = self.now + RETRY_PAUSE;
+        match kind {
+            Kind::Survey => worker.busy = true,
+            Kind::Order => {
+                worker.busy = true;
+                call.starts = worker.starts.clone();
+                call.stops = worker.stops.clone();
+                call.acks = worker.acks.clone();
+            }
+            Kind::Watch => {
+                worker.watched = true;
+                let sync = self.settings.timing.sync;
+                let wait = if by_store {
+                    sync
+                } else {
+                    sync.min(WITNESS_WATCH)
+                };
+                call.wait_ms = wait.as_millis() as u64;
+                call.known = worker.version;
+            }
+        }
+        if kind != Kind::Survey {
             worker.renewed = Some(self.now);
             call.holder = self.settings.identity.name.clone();
-            call.starts = worker.starts.clone();
-            call.stops = worker.stops.clone();
-            call.acks = worker.acks.clone();
         }
         self.owner.next_call += 1;
         let id = self.owner.next_call;
@@ -154,7 +205,7 @@
             worker: at,
             epoch: self.owner.record.epoch,
             sent: self.now,
-            survey,
+            kind,
             starts: call.starts.len(),
             stops: call.stops.len(),
             acks: call.acks.len(),
@@ -171,10 +222,14 @@
         let Some(contact) = self.owner.contacts.remove(&id) else {
             return;
         };
-        self.owner.workers[contact.worker].in_flight = false;
+        let worker = &mut self.owner.workers[contact.worker];
+        match contact.kind {
+            Kind::Watch => worker.watched = false,
+            Kind::Survey | Kind::Order => worker.busy = false,
+        }
         match result {
-            Err(_) => self.missed(contact.worker),
-            Ok(report) if contact.survey => self.surveyed(&contact, report),
+            Err(_) => self.missed(&contact),
+            Ok(report) if contact.kind == Kind::Survey => self.surveyed(&contact, report),
             Ok(report) if !report.accepted => self.rejected(&contact, &report),
             Ok(report) if contact.epoch == self.owner.record.epoch => {
                 self.reported(&contact, report);
@@ -183,8 +238,12 @@
         }
     }
 
-    fn missed(&mut self, at: usize) {
-        let worker = &mut self.owner.workers[at];
+    fn missed(&mut self, contact: &Contact) {
+        let worker = &mut self.owner.workers[contact.worker];
+        if contact.kind != Kind::Survey {
+            // The call may have arrived as late as this.
+            worker.renewed = Some(self.now);
+        }
         worker.misses += 1;
         if worker.misses == MAX_MISSES {
             let (id, name, claimed) = (worker.id, worker.name.clone(), worker.claimed);
@@ -225,14 +284,19 @@
         let worker = &mut self.owner.workers[contact.worker];
         let was_silent = worker.misses >= MAX_MISSES || !worker.claimed;
         worker.misses = 0;
-        worker.confirmed = Some(contact.sent);
+        worker.next_call = self.now + WATCH_PAUSE;
+        worker.confirmed = worker.confirmed.max(Some(contact.sent));
         worker.claimed = true;
         worker
             .starts
             .drain(..contact.starts.min(worker.starts.len()));
         worker.stops.drain(..contact.stops.min(worker.stops.len()));
         worker.acks.drain(..contact.acks.min(worker.acks.len()));
-        self.reconcile(contact.worker, &report);
+        // A report older than one taken in already says nothing new.
+        if !report.unchanged && report.version >= worker.version {
+            worker.version = report.version;
+            self.reconcile(contact.worker, &report);
+        }
         let worker = &self.owner.workers[contact.worker];
         let state = match worker.life {
             Life::Live => State::Open,
@@ -353,12 +417,13 @@
         let over = worker
             .renewed
             .is_some_and(|sent| sent + self.settings.timing.surely_lapsed() <= self.now);
-        if !worker.claimed || worker.misses < MAX_MISSES || worker.in_flight || !over {
+        if !worker.claimed || worker.misses < MAX_MISSES || !over {
             return;
         }
         let (id, name) = (worker.id, worker.name.clone());
         let worker = &mut self.owner.workers[at];
         worker.claimed = false;
+        worker.version = 0;
         worker.starts.clear();
         worker.stops.clear();
         worker.acks.clear();
--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -18,10 +18,10 @@
 };
 use wire::Frame;
 
-use crate::event::{CallerId, Reply, Tables};
+use crate::event::{CallerId, Reply};
 use crate::node::Node;
 use crate::notice::Notice;
-use crate::store::{Answered, Purpose, version_of};
+use crate::store::{Answered, Purpose, first_row, read_row, version_of};
 
 /// Time allowed for a change to be committed.
 const COMMIT_TIME: Duration = Duration::from_secs(5);
@@ -292,7 +292,7 @@
             Stage::Writing(next) | Stage::Reading(next) => Stage::Reading(next),
             other => other,
         };
-        let read = Tables::Read(vec![(Name::from(ROW), 0)]);
+        let read = read_row(Name::from(ROW));
         let effect = self.store.read(read, Purpose::ChangeCheck, self.now);
         self.out.push(effect);
     }
@@ -301,11 +301,7 @@
         let Some(at) = self.writing() else {
             return;
         };
-        let cell = match result {
-            Ok(Answered::Rows(mut rows)) => rows.pop().and_then(|(_, cell)| cell),
-            _ => None,
-        };
-        let Some(cell) = cell else {
+        let Some(cell) = first_row(result) else {
             return; // `tick_changes` reads again until the deadline.
         };
         if cell.version > self.configuration.row {
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use model::{
-    Answer, Call, Change, Config, Conflict, Fault, Hash, JobId, Name, Refusal, Report, Spec,
-    Status, Transaction, Vm,
+    Answer, Call, Change, Config, Conflict, Fault, Hash, JobId, Listing, Name, Refusal, Report,
+    Spec, Status, Transaction,
 };
 use serde::Serialize;
 use wire::{Frame, Load};
@@ -165,14 +165,13 @@
 /// Calls to the table service.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Tables {
-    /// Reads rows; `known` versions that are unchanged come back as `None`.
-    Read(Vec<(Name, u64)>),
-    /// Reads rows with a prefix and a version above `after`.
-    Scan {
-        /// Key prefix.
-        prefix: Name,
-        /// Version seen so far.
-        after: u64,
+    /// Reads rows and prefixes in one call.
+    Read {
+        /// Keys with the version known to the caller; an unchanged row comes
+        /// back as `None`. Version zero always reads.
+        rows: Vec<(Name, u64)>,
+        /// Prefixes of which rows above a version are read.
+        scans: Vec<(Name, u64)>,
     },
     /// Independent transactions in one call.
     Commit(Vec<Transaction>),
@@ -279,7 +278,7 @@
         result: Result<Whole, ExecuteFault>,
     },
     /// The platform's VM list, or `None` when it could not be read.
-    Vms(Option<Vec<Vm>>),
+    Vms(Option<Listing>),
     /// The process is asked to stop.
     Shutdown,
 }
@@ -330,8 +329,11 @@
     },
     /// Send a request to an executor.
     Execute(Box<Execute>),
-    /// Read the VM list.
-    ListVms,
+    /// Read the VM list unless `known` is its version.
+    ListVms {
+        /// Version known.
+        known: u64,
+    },
     /// Write a log record.
     Log(Notice),
     /// Record a measurement.
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -18,10 +18,10 @@
 use serde::{Deserialize, Serialize};
 use wire::{Frame, Query, Serve};
 
-use crate::event::{CallerId, Reply, Tables};
+use crate::event::{CallerId, Reply};
 use crate::node::Node;
 use crate::notice::Notice;
-use crate::store::{Answered, Purpose, version_of};
+use crate::store::{Answered, Purpose, first_row, read_row, version_of};
 use crate::submit::Submission;
 
 /// Longest time for which a caller may wait.
@@ -227,21 +227,19 @@
         let Some(key) = key.map(|held| held.key.clone()) else {
             return;
         };
-        let read = Tables::Read(vec![(key, 0)]);
-        let effect = self.store.read(read, Purpose::ClaimCheck(id), self.now);
+        let effect = self
+            .store
+            .read(read_row(key), Purpose::ClaimCheck(id), self.now);
         self.out.push(effect);
     }
 
     pub(crate) fn claim_read(&mut self, id: u64, result: Result<Answered, Fault>) {
-        let cell = match result {
-            Ok(Answered::Rows(mut rows)) => rows.pop().and_then(|(_, cell)| cell),
+        let Some(cell) = first_row(result) else {
             // Not sent yet, so "not run" is true.
-            _ => {
-                let refusal = Refusal::after(Reason::StoreDown, Duration::from_secs(2));
-                return self.finish(id, Answer::Refused(refusal));
-            }
+            let refusal = Refusal::after(Reason::StoreDown, Duration::from_secs(2));
+            return self.finish(id, Answer::Refused(refusal));
         };
-        self.claim_found(id, &cell.unwrap_or_default());
+        self.claim_found(id, &cell);
     }
 
     fn claim_found(&mut self, id: u64, cell: &Cell) {
@@ -294,8 +292,7 @@
             let refusal = Refusal::fixed(Reason::Expired);
             return self.finish(id, Answer::Refused(refusal));
         }
-        let (service, tried) = (pending.service.clone(), pending.tried.clone());
-        let target = self.choose_target(&service, &tried);
+        let target = self.target_of(id);
         let Some((data_centre, owner)) = target else {
             return self.no_route(id);
         };
@@ -359,16 +356,19 @@
 
     /// Tries another data centre, or settles for `answer`.
     fn reroute(&mut self, id: u64, answer: Answer) {
-        let Some(pending) = self.gateway.pending.get(&id) else {
-            return;
-        };
-        let (service, tried) = (pending.service.clone(), pending.tried.clone());
-        match self.choose_target(&service, &tried) {
+        match self.target_of(id) {
             Some(_) => self.route(id),
             None => self.finish(id, answer),
         }
     }
 
+    fn target_of(&mut self, id: u64) -> Option<(Name, Name)> {
+        let pending = self.gateway.pending.get(&id)?;
+        let (team, service) = (pending.team.clone(), pending.service.clone());
+        let tried = pending.tried.clone();
+        self.choose_target(&team, &service, &tried)
+    }
+
     fn spend_retry(&mut self) -> bool {
         let has = self.gateway.retries >= 1.0;
         if has {
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -8,13 +8,13 @@
 
 use compact_str::format_compact;
 use model::{
-    Attempt, Fault, Finished, Job, JobId, Name, Phase, Reason, Refusal, Report, Running, Start,
-    Status, Stop, TaskIndex, Transaction, Work, Write,
+    Attempt, Fault, Finished, Job, JobId, Name, Phase, Reason, Refusal, Report, Row, Running,
+    Start, Status, Stop, TaskIndex, Transaction, Work, Write,
 };
 use policy::{Decision, JobRef, Request};
 use wire::{Frame, Query};
 
-use crate::event::{Effect, Measure, Tables};
+use crate::event::{Effect, Measure};
 use crate::node::Node;
 use crate::notice::Notice;
 use crate::owner::Tenure;
@@ -25,8 +25,6 @@
 const SAVE_TIME: Duration = Duration::from_secs(60);
 /// Pause after a failed save.
 const SAVE_PAUSE: Duration = Duration::from_secs(1);
-/// Period of scans for jobs whose announcement was lost.
-const SCAN_PERIOD: Duration = Duration::from_secs(2);
 /// Team that pays for tasks of unknown jobs.
 const STRAY_TEAM: &str = "";
 
@@ -54,9 +52,9 @@
     classes: BTreeMap<Name, u32>,
     strays: Vec<(usize, JobId, TaskIndex, Attempt, JobRef)>,
     pub(crate) decisions: Vec<Decision>,
+    retired: Vec<JobRef>,
     pub(crate) loaded: bool,
     scanned: u64,
-    next_scan: Duration,
 }
 
 impl Jobs {
@@ -80,6 +78,13 @@
         self.by_ref[index] = Some(id);
     }
 
+    /// Forgets an index that the engine may give to another job.
+    fn unbind(&mut self, job: JobRef) {
+        let name = self.by_ref.get_mut(job as usize).and_then(Option::take);
+        let entry = name.and_then(|id| self.entries.get_mut(&id));
+        entry.into_iter().for_each(|e| e.engine = None);
+    }
+
     fn class_of(&mut self, job: &Job) -> u32 {
         let name = format_compact!("{}/{}/{}", job.team, job.queue, job.spec.payload);
         let next = self.classes.len() as u32;
@@ -99,24 +104,13 @@
 }
 
 impl Node {
-    pub(crate) fn scan_jobs(&mut self) {
-        let purpose = Purpose::Jobs(self.owner.data_centre.clone());
-        if self.store.has(&purpose) {
-            return;
-        }
-        let scan = Tables::Scan {
-            prefix: format_compact!("job/{}/", self.owner.data_centre),
-            after: self.owner.jobs.scanned,
-        };
-        self.owner.jobs.next_scan = self.now + SCAN_PERIOD;
-        let effect = self.store.read(scan, purpose, self.now);
-        self.out.push(effect);
+    /// Prefix of this data centre's jobs and the version seen so far.
+    pub(crate) fn jobs_prefix(&self) -> (Name, u64) {
+        let prefix = format_compact!("job/{}/", self.owner.data_centre);
+        (prefix, self.owner.jobs.scanned)
     }
 
-    pub(crate) fn jobs_scanned(&mut self, result: Result<Answered, Fault>) {
-        let Ok(Answered::Scanned(rows, version)) = result else {
-            return;
-        };
+    pub(crate) fn jobs_scanned(&mut self, (rows, version): (Vec<Row>, u64)) {
         if !self.owner.holds_epoch() {
             return;
         }
@@ -158,6 +152,16 @@
         self.complete_if_done(&id);
     }
 
+    /// Forgets the engine's indexes of jobs that are over.
+    pub(crate) fn forget_retired(&mut self) {
+        let mut retired = std::mem::take(&mut self.owner.jobs.retired);
+        self.owner.engine.collect_retired(&mut retired);
+        for job in retired.drain(..) {
+            self.owner.jobs.unbind(job);
+        }
+        self.owner.jobs.retired = retired;
+    }
+
     fn queue_job(&mut self, job: &Job) -> JobRef {
         self.apply_team(&job.team);
         let request = Request {
@@ -389,9 +393,6 @@
         if !self.owner.holds_epoch() {
             return;
         }
-        if self.owner.jobs.next_scan <= self.now {
-            self.scan_jobs();
-        }
         let ids: Vec<JobId> = self.owner.jobs.entries.keys().cloned().collect();
         for id in ids {
             self.save_job(&id);
@@ -401,6 +402,7 @@
 
     fn save_job(&mut self, id: &JobId) {
         let guard = self.owner.guard();
+        let epoch = self.owner.record.epoch;
         let Some(entry) = self.owner.jobs.entries.get_mut(id) else {
             return;
         };
@@ -422,7 +424,7 @@
         let deadline = self.now + SAVE_TIME;
         if !self
             .store
-            .write(transaction, Purpose::Save(id.clone()), deadline)
+            .write(transaction, Purpose::Save(epoch, id.clone()), deadline)
         {
             self.save_failed(id);
         }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
-use model::{Fault, Life, Name, Role, Vm};
+use model::{Epoch, Fault, Life, Listing, Name, Role};
 use wire::Frame;
 
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatcher;
-use crate::event::{Ask, CallerId, Effect, Event, Fleet, Reply};
+use crate::event::{Ask, CallerId, Effect, Event, Fleet, Reply, Tables};
 use crate::gateway::Gateway;
 use crate::membership::Members;
 use crate::notice::Notice;
@@ -41,6 +41,7 @@
     pub(crate) draining_since: Option<Duration>,
     store_was_down: bool,
     next_vms: Duration,
+    vms_version: u64,
     next_poll: Duration,
     exited: bool,
 }
@@ -62,6 +63,7 @@
             draining_since: None,
             store_was_down: false,
             next_vms: now,
+            vms_version: 0,
             next_poll: now,
             exited: false,
             settings,
@@ -84,6 +86,7 @@
         }
         self.handle(event);
         self.place();
+        self.forget_retired();
         self.pump_all();
         self.flush();
         std::mem::swap(&mut self.out, out);
@@ -99,7 +102,7 @@
             Event::Table { id, result } => self.table(id, result),
             Event::Worker { id, result } => self.worker_answered(id, result),
             Event::Executed { id, result } => self.executed(id, result),
-            Event::Vms(Some(vms)) => self.learn_vms(&vms),
+            Event::Vms(Some(listing)) => self.learn_vms(&listing),
             Event::Vms(None) => {}
             Event::Shutdown => self.shutdown(),
         }
@@ -115,7 +118,8 @@
         }
         if self.now >= self.next_vms {
             self.next_vms = self.now + self.settings.timing.vm_list;
-            self.out.push(Effect::ListVms);
+            let known = self.vms_version;
+            self.out.push(Effect::ListVms { known });
         }
         self.tick_changes();
         self.tick_gateway();
@@ -200,7 +204,7 @@
         sent: Duration,
     ) {
         match purpose {
-            Purpose::Poll => self.polled(result, sent),
+            Purpose::Poll(epoch) => self.polled(epoch, result, sent),
             Purpose::Change => self.change_written(result),
             Purpose::ChangeCheck => self.change_read(result),
             Purpose::Claim(id) => self.claim_written(id, result),
@@ -211,10 +215,14 @@
             Purpose::Take(dc) if dc == self.owner.data_centre => self.take_written(result),
             Purpose::Release(dc) if dc == self.owner.data_centre => self.release_written(&result),
             Purpose::Take(_) | Purpose::Release(_) => {}
-            Purpose::Jobs(_) => self.jobs_scanned(result),
-            Purpose::Save(job) => self.save_written(&job, &result),
-            Purpose::Allotments(_) => self.allotments_scanned(result),
-            Purpose::Allot(_, team) => self.allot_written(&team, &result),
+            Purpose::Save(epoch, job) if self.owner.holds(epoch) => {
+                self.save_written(&job, &result);
+            }
+            Purpose::Allot(epoch, team) if self.owner.holds(epoch) => {
+                self.allot_written(&team, &result);
+            }
+            // Of an epoch that is over: the next owner reads the rows.
+            Purpose::Save(..) | Purpose::Allot(..) => {}
         }
     }
 
@@ -238,20 +246,25 @@
     }
 
     pub(crate) fn poll(&mut self) {
-        if self.store.has(&Purpose::Poll) {
+        let purpose = Purpose::Poll(self.owner.record.epoch);
+        if self.store.has(&purpose) {
             return;
         }
         let rows = vec![
             (Name::from("config"), self.configuration.row),
-            (self.owner.row_key(), 0),
+            (self.owner.row_key(), self.owner.row),
         ];
-        let read = crate::event::Tables::Read(rows);
-        let effect = self.store.read(read, Purpose::Poll, self.now);
+        let scans = match self.owner.holds_epoch() {
+            true => vec![self.jobs_prefix(), self.allotments_prefix()],
+            false => Vec::new(),
+        };
+        let read = Tables::Read { rows, scans };
+        let effect = self.store.read(read, purpose, self.now);
         self.out.push(effect);
     }
 
-    fn polled(&mut self, result: Result<Answered, Fault>, sent: Duration) {
-        let Ok(Answered::Rows(rows)) = result else {
+    fn polled(&mut self, epoch: Epoch, result: Result<Answered, Fault>, sent: Duration) {
+        let Ok(Answered::Read { rows, scans }) = result else {
             return;
         };
         for (key, cell) in rows {
@@ -261,9 +274,22 @@
                 _ => {}
             }
         }
+        if !self.owner.holds(epoch) {
+            return;
+        }
+        let mut scans = scans.into_iter();
+        if let (Some(jobs), Some(allotments)) = (scans.next(), scans.next()) {
+            self.jobs_scanned(jobs);
+            self.allotments_scanned(allotments);
+        }
     }
 
-    fn learn_vms(&mut self, vms: &[Vm]) {
+    fn learn_vms(&mut self, listing: &Listing) {
+        if listing.version == self.vms_version {
+            return;
+        }
+        self.vms_version = listing.version;
+        let vms = &listing.vms;
         for vm in vms.iter().filter(|vm| vm.role == Role::Entry) {
             self.members.set_gone(&vm.name, vm.life == Life::Gone);
         }
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -85,7 +85,6 @@
     pub(crate) withheld: Vec<(JobRef, TaskIndex)>,
     pub(crate) uncertain_until: Option<Duration>,
     pub(crate) confirmed: bool,
-    record_seen: Option<Duration>,
     started: Duration,
 }
 
@@ -108,7 +107,6 @@
             withheld: Vec::new(),
             uncertain_until: None,
             confirmed: false,
-            record_seen: None,
             started: now,
         }
     }
@@ -127,6 +125,11 @@
         matches!(self.tenure, Tenure::Active | Tenure::Claiming { .. })
     }
 
+    /// True while this node holds just this epoch.
+    pub(crate) fn holds(&self, epoch: Epoch) -> bool {
+        self.holds_epoch() && self.record.epoch == epoch
+    }
+
     pub(crate) fn is_idle(&self) -> bool {
         matches!(self.tenure, Tenure::Idle | Tenure::Released)
     }
@@ -191,17 +194,26 @@
 impl Node {
     /// True while this node may place work and renew leases.
     pub(crate) fn may_act(&self) -> bool {
-        let owner = &self.owner;
-        let lease = self.settings.timing.owner_lease;
-        let since = self.now.saturating_sub(lease);
-        let by_store = owner.store_confirmed.is_some_and(|at| at >= since);
-        owner.is_active() && (by_store || owner.has_majority(since))
+        let since = self.now.saturating_sub(self.settings.timing.owner_lease);
+        let confirmed = self.confirmed_by_store() || self.owner.has_majority(since);
+        self.owner.is_active() && confirmed
+    }
+
+    /// True while the store has confirmed the epoch within the lease.
+    pub(crate) fn confirmed_by_store(&self) -> bool {
+        let since = self.now.saturating_sub(self.settings.timing.owner_lease);
+        self.owner.store_confirmed.is_some_and(|at| at >= since)
     }
 
     pub(crate) fn owner_polled(&mut self, cell: Option<Cell>, sent: Duration) {
-        let cell = cell.unwrap_or_default();
-        if cell.version < self.owner.row {
-            return;
+        let Some(cell) = cell else {
+            return match self.owner.holds_epoch() {
+                true => self.owner.store_confirmed = Some(sent),
+                false => self.consider_takeover(),
+            };
+        };
+        if cell.version < self.owner.row || (cell.version == self.owner.row && cell.version > 0) {
+            return; // Read before this node's own last write.
         }
         let record = match cell.version {
             0 => Record::default(),
@@ -210,11 +222,7 @@
                 Err(_) => return self.log(Notice::JobMalformed(self.owner.row_key())),
             },
         };
-        let mine = record.holder == self.settings.identity.name && cell.version == self.owner.row;
-        match mine && self.owner.holds_epoch() {
-            true => self.owner.store_confirmed = Some(sent),
-            false => self.others_record(record, cell.version),
-        }
+        self.others_record(record, cell.version);
     }
 
     /// Takes note of a record that this process did not write.
@@ -227,7 +235,6 @@
         }
         self.owner.record = record;
         self.owner.row = version;
-        self.owner.record_seen = Some(self.now);
         self.consider_takeover();
     }
 
@@ -328,8 +335,7 @@
         for worker in &mut self.owner.workers {
             worker.begin_epoch(self.now);
         }
-        self.scan_jobs();
-        self.scan_allotments();
+        self.poll();
     }
 
     /// Forgets what an earlier epoch knew.
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -35,9 +35,26 @@
         best.map(|(_, name)| name.clone())
     }
 
-    /// Data centre and owner for a request, not among `tried`: here while
-    /// slots are free, else the better of two drawn at random.
-    pub(crate) fn choose_target(&mut self, service: &Name, tried: &[Name]) -> Option<(Name, Name)> {
+    /// Position of a data centre in a team's order of preference. A team with
+    /// a limit gathers in few data centres, so that its allotments seldom have
+    /// to move; the order is the same at every entry VM.
+    fn preference(&self, team: &Name, data_centre: &Name) -> Option<usize> {
+        self.configuration.config.teams.get(team)?.limit?;
+        let all = &self.settings.data_centres;
+        let first = team.bytes().map(usize::from).sum::<usize>() % all.len();
+        let at = all.iter().position(|d| d == data_centre)?;
+        Some((at + all.len() - first) % all.len())
+    }
+
+    /// Data centre and owner for a request, not among `tried`: the preferred
+    /// one, or this one, while slots are free, else the better of two drawn at
+    /// random.
+    pub(crate) fn choose_target(
+        &mut self,
+        team: &Name,
+        service: &Name,
+        tried: &[Name],
+    ) -> Option<(Name, Name)> {
         let here = self.owner.data_centre.clone();
         let mut options: Vec<(Name, Name, i64)> = Vec::new();
         for data_centre in &self.settings.data_centres {
@@ -52,8 +69,11 @@
                 options.push((data_centre.clone(), owner, spare));
             }
         }
-        if let Some(local) = options.iter().find(|o| o.0 == here && o.2 > 0) {
-            return Some((local.0.clone(), local.1.clone()));
+        let spare = options.iter().filter(|o| o.2 > 0);
+        let rank = |o: &&(Name, Name, i64)| (self.preference(team, &o.0), o.0 != here);
+        let best = spare.min_by_key(rank);
+        if let Some(best) = best.filter(|o| rank(o).0.is_some() || o.0 == here) {
+            return Some((best.0.clone(), best.1.clone()));
         }
         if options.is_empty() {
             return None;
@@ -88,7 +108,12 @@
 
     /// Data centre for a job: where most of it fits now relative to what
     /// waits there already; `None` when no known worker is large enough.
-    pub(crate) fn choose_home(&mut self, each: &Resources, tasks: u32) -> Option<Name> {
+    pub(crate) fn choose_home(
+        &mut self,
+        team: &Name,
+        each: &Resources,
+        tasks: u32,
+    ) -> Option<Name> {
         let mut best: Option<(f64, Name)> = None;
         for load in self.loads() {
             if !each.fits(&load.largest) {
@@ -98,7 +123,8 @@
             let busy = 1.0 - least_free(&load, each);
             let queued = f64::from(load.waiting_tasks) * each.dominant_share(&load.total);
             // Jitter keeps the entry VMs from all choosing the same one.
-            let score = busy + need + queued + 0.1 * self.rng.f64();
+            let far = self.preference(team, &load.data_centre).unwrap_or(0);
+            let score = busy + need + queued + 0.1 * self.rng.f64() + far as f64;
             if best.as_ref().is_none_or(|(b, _)| score < *b) {
                 best = Some((score, load.data_centre.clone()));
             }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -29,7 +29,7 @@
     pub poll: Duration,
     /// Age up to which a configuration may be used to accept a key.
     pub key_fresh: Duration,
-    /// Period of calls to each worker.
+    /// Longest time for which a worker holds the answer to a watching call.
     pub sync: Duration,
     /// Time after which a worker ends tasks that were not renewed.
     pub task_lease: Duration,
@@ -53,7 +53,7 @@
             peer_silent: Duration::from_millis(2_500),
             poll: Duration::from_millis(500),
             key_fresh: Duration::from_millis(4_000),
-            sync: Duration::from_millis(1_000),
+            sync: Duration::from_millis(4_000),
             task_lease: Duration::from_secs(20),
             owner_lease: Duration::from_secs(4),
             margin: Duration::from_secs(1),
@@ -74,10 +74,10 @@
     #[error("key_fresh must be at least twice poll and at most 4.5 s")]
     KeyFresh,
     /// Tasks would lapse between two calls.
-    #[error("task_lease must be at least five times sync")]
+    #[error("task_lease must be at least four times sync")]
     TaskLease,
     /// An owner would stop between two confirmations.
-    #[error("owner_lease must be at least three times poll and sync")]
+    #[error("owner_lease must be at least 3 s and three times poll")]
     OwnerLease,
 }
 
@@ -91,8 +91,8 @@
         match self {
             t if t.peer_silent < t.beat_far * 3 => Err(Clash::PeerSilent),
             t if t.key_fresh < t.poll * 2 || t.key_fresh > max_fresh => Err(Clash::KeyFresh),
-            t if t.task_lease < t.sync * 5 => Err(Clash::TaskLease),
-            t if t.owner_lease < t.poll.max(t.sync) * 3 => Err(Clash::OwnerLease),
+            t if t.task_lease < t.sync * 4 => Err(Clash::TaskLease),
+            t if t.owner_lease < (t.poll * 3).max(Duration::from_secs(3)) => Err(Clash::OwnerLease),
             _ => Ok(()),
         }
     }
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use model::{Cell, Fault, Name, Row, Transaction};
+use model::{Cell, Epoch, Fault, JobId, Name, Row, Transaction};
 
 use crate::event::{Effect, Tables};
 
@@ -23,10 +23,13 @@
 /// A successful answer of the table service.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answered {
-    /// Rows asked for; `None` for an unchanged row.
-    Rows(Vec<(Name, Option<Cell>)>),
-    /// Rows of a scan and the store's version at that time.
-    Scanned(Vec<Row>, u64),
+    /// Rows and prefixes read.
+    Read {
+        /// Rows asked for; `None` for an unchanged one.
+        rows: Vec<(Name, Option<Cell>)>,
+        /// For each prefix its rows and the store's version at that time.
+        scans: Vec<(Vec<Row>, u64)>,
+    },
     /// One result a transaction: the version given to its writes.
     Committed(Vec<Result<u64, Fault>>),
 }
@@ -34,8 +37,9 @@
 /// What an answer is for.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Purpose {
-    /// Poll of the configuration and ownership rows.
-    Poll,
+    /// Poll of the configuration and ownership rows, and, by an owner, of
+    /// its jobs and all allotments; with the epoch held when it was sent.
+    Poll(Epoch),
     /// Creation or change of the configuration.
     Change,
     /// Reading back an unknown change.
@@ -54,14 +58,10 @@
     Take(Name),
     /// Giving an epoch up.
     Release(Name),
-    /// Scan of jobs.
-    Jobs(Name),
-    /// Saving a job's progress.
-    Save(Name),
-    /// Scan of allotments.
-    Allotments(Name),
-    /// Moving an allotment.
-    Allot(Name, Name),
+    /// Saving a job's progress under an epoch.
+    Save(Epoch, JobId),
+    /// Moving a team's allotment under an epoch.
+    Allot(Epoch, Name),
 }
 
 /// Calls to the table service.
@@ -217,7 +217,7 @@
                 | Self::Accept(_)
                 | Self::Take(_)
                 | Self::Release(_)
-                | Self::Save(_)
+                | Self::Save(..)
                 | Self::Allot(..)
         )
     }
@@ -230,3 +230,19 @@
         _ => 0,
     }
 }
+
+/// The first row of a read that was answered.
+pub(crate) fn first_row(result: Result<Answered, Fault>) -> Option<Cell> {
+    match result {
+        Ok(Answered::Read { rows, .. }) => rows.into_iter().next()?.1,
+        _ => None,
+    }
+}
+
+/// A read of one row, whatever its version.
+pub(crate) fn read_row(key: Name) -> Tables {
+    Tables::Read {
+        rows: vec![(key, 0)],
+        scans: Vec::new(),
+    }
+}
--- a/crates/control/src/submit.rs
+++ b/crates/control/src/submit.rs
@@ -18,10 +18,10 @@
 use serde::{Deserialize, Serialize};
 use wire::{Frame, Query};
 
-use crate::event::{CallerId, Reply, Tables};
+use crate::event::{CallerId, Reply};
 use crate::gateway::is_plain;
 use crate::node::Node;
-use crate::store::{Answered, Purpose};
+use crate::store::{Answered, Purpose, first_row, read_row};
 
 /// Time allowed for the acceptance of a job.
 const ACCEPT_TIME: Duration = Duration::from_secs(5);
@@ -86,7 +86,7 @@
             }
             () if self.store.is_down() => Err(Refusal::after(Reason::StoreDown, soon)),
             () if self.loads().is_empty() => Err(Refusal::after(Reason::NoBackend, soon)),
-            () => match self.choose_home(&spec.each, spec.tasks) {
+            () => match self.choose_home(&team, &spec.each, spec.tasks) {
                 Some(home) => Ok((entry.work, team, home)),
                 None => Err(Refusal::after(Reason::NeverFits, Duration::from_secs(60))),
             },
@@ -179,7 +179,7 @@
             return;
         };
         submission.reading = true;
-        let read = Tables::Read(vec![(submission.key.clone(), 0)]);
+        let read = read_row(submission.key.clone());
         let effect = self.store.read(read, Purpose::AcceptCheck(id), self.now);
         self.out.push(effect);
     }
@@ -188,11 +188,9 @@
         let Some(submission) = self.gateway.submissions.get(&id) else {
             return;
         };
-        let cell = match result {
-            Ok(Answered::Rows(mut rows)) => rows.pop().and_then(|(_, cell)| cell),
-            _ => return, // `tick_submissions` reads again until the deadline.
+        let Some(cell) = first_row(result) else {
+            return; // `tick_submissions` reads again until the deadline.
         };
-        let cell = cell.unwrap_or_default();
         if cell.version == 0 {
             return self.write_submission(id);
         }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -21,5 +21,5 @@
 pub use key::Hash;
 pub use resources::Resources;
 pub use table::{Cell, Condition, Fault, Row, Transaction, Write};
-pub use vm::{Executor, Life, Role, Vm};
+pub use vm::{Executor, Life, Listing, Role, Vm};
 pub use worker::{Call, Ended, Finished, Report, Running, Start, Stop};
--- a/crates/model/src/vm.rs
+++ b/crates/model/src/vm.rs
@@ -63,3 +63,12 @@
     /// Executor, if there is one.
     pub executor: Option<Executor>,
 }
+
+/// The VM list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Changes with each change of the list; never zero.
+    pub version: u64,
+    /// All VMs; empty when the reader knows `version`.
+    pub vms: Vec<Vm>,
+}
--- a/crates/model/src/worker.rs
+++ b/crates/model/src/worker.rs
@@ -49,6 +49,12 @@
     /// Grows with each call of one epoch; a worker refuses a call that is not
     /// newer than the last one it accepted.
     pub seq: u64,
+    /// Report version that the caller knows; lists are left out of the answer
+    /// when nothing changed since.
+    pub known: u64,
+    /// Longest time in ms for which the worker may hold its answer while
+    /// nothing changes and no newer call comes.
+    pub wait_ms: u64,
     /// Time in ms after which tasks end unless a later call renews them.
     pub lease_ms: u64,
     /// Tasks to start.
@@ -112,6 +118,10 @@
     pub contact_ms: u64,
     /// True when the call was accepted; false when its epoch is superseded.
     pub accepted: bool,
+    /// Grows with each change of the lists below; never zero.
+    pub version: u64,
+    /// True when the caller knows `version`; the lists are empty then.
+    pub unchanged: bool,
     /// Running attempts.
     pub running: Vec<Running>,
     /// Ended attempts not yet acknowledged.
--- a/crates/node/src/edge.rs
+++ b/crates/node/src/edge.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use control::{Answered, Execute, ExecuteFault, Tables, Whole, WorkerFault};
-use model::{Call, Fault, Name, Report, Vm};
+use model::{Call, Fault, Listing, Name, Report};
 
 /// The platform: table service and VM list.
 pub trait Platform: Clone + Send + Sync + 'static {
@@ -21,8 +21,9 @@
         limit: Duration,
     ) -> impl Future<Output = Result<Answered, Fault>> + Send;
 
-    /// Reads the VM list; `None` when it can't be read.
-    fn vms(&self, limit: Duration) -> impl Future<Output = Option<Vec<Vm>>> + Send;
+    /// Reads the VM list unless `known` is its version; `None` when it can't
+    /// be read.
+    fn vms(&self, known: u64, limit: Duration) -> impl Future<Output = Option<Listing>> + Send;
 }
 
 /// Workers.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,5 +23,5 @@
 pub use cli::main_with;
 pub use edge::{Edges, Executors, Platform, Workers};
 pub use http_client::{Client, Failure};
-pub use platform::{Commits, Listing, Reads, Scans};
+pub use platform::{Commits, Lists, ReadAnswer, Reads};
 pub use settings::{File, Problem, load, parse};
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use control::{Answered, Tables};
 use hyper::Response;
-use model::{Cell, Fault, Name, Row, Transaction, Vm};
+use model::{Cell, Fault, Listing, Name, Row, Transaction};
 use serde::{Deserialize, Serialize};
 
 use crate::edge::Platform;
@@ -20,15 +20,24 @@
 pub struct Reads {
     /// Keys with the version known to the caller; zero for none.
     pub rows: Vec<(Name, u64)>,
+    /// Prefixes with the version seen so far.
+    pub scans: Vec<(Name, u64)>,
 }
 
-/// Body of `POST /v1/scan`.
+/// Answer of `POST /v1/read`.
 #[derive(Debug, Serialize, Deserialize)]
-pub struct Scans {
-    /// Key prefix.
-    pub prefix: Name,
-    /// Only rows with a higher version.
-    pub after: u64,
+pub struct ReadAnswer {
+    /// Rows in the order asked; none for an unchanged one.
+    pub rows: Vec<(Name, Option<Cell>)>,
+    /// For each prefix, rows with a higher version, and the store's version.
+    pub scans: Vec<(Vec<Row>, u64)>,
+}
+
+/// Body of `POST /v1/vms`.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Lists {
+    /// Version known to the caller; zero for none.
+    pub known: u64,
 }
 
 /// Body of `POST /v1/commit`.
@@ -38,15 +47,6 @@
     pub transactions: Vec<Transaction>,
 }
 
-/// Answer of `GET /v1/vms`.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Listing {
-    /// VMs.
-    pub vms: Vec<Vm>,
-}
-
-type ReadAnswer = Vec<(Name, Option<Cell>)>;
-type ScanAnswer = (Vec<Row>, u64);
 type CommitAnswer = Vec<Result<u64, Fault>>;
 
 /// The platform over HTTP.
@@ -101,15 +101,13 @@
 impl Platform for HttpPlatform {
     async fn table(&self, call: Tables, limit: Duration) -> Result<Answered, Fault> {
         match call {
-            Tables::Read(rows) => {
-                let bytes = self.ask("/v1/read", &Reads { rows }, limit).await?;
-                parsed::<ReadAnswer>(&bytes).map(Answered::Rows)
-            }
-            Tables::Scan { prefix, after } => {
-                let bytes = self
-                    .ask("/v1/scan", &Scans { prefix, after }, limit)
-                    .await?;
-                parsed::<ScanAnswer>(&bytes).map(|(rows, v)| Answered::Scanned(rows, v))
+            Tables::Read { rows, scans } => {
+                let bytes = self.ask("/v1/read", &Reads { rows, scans }, limit).await?;
+                let answer = parsed::<ReadAnswer>(&bytes)?;
+                Ok(Answered::Read {
+                    rows: answer.rows,
+                    scans: answer.scans,
+                })
             }
             Tables::Commit(transactions) => {
                 let bytes = self
@@ -120,10 +118,10 @@
         }
     }
 
-    async fn vms(&self, limit: Duration) -> Option<Vec<Vm>> {
-        let request = post_json(&self.vms, "/v1/vms", &());
+    async fn vms(&self, known: u64, limit: Duration) -> Option<Listing> {
+        let request = post_json(&self.vms, "/v1/vms", &Lists { known });
         let response = self.client.exchange(&self.vms, request, limit).await.ok()?;
         let bytes = accepted(response).ok()?;
-        parsed::<Listing>(&bytes).ok().map(|listing| listing.vms)
+        parsed::<Listing>(&bytes).ok()
     }
 }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -26,7 +26,7 @@
 const MAX_EVENTS: usize = 16_384;
 /// Frames that may wait for one peer.
 const MAX_FRAMES: usize = 1_024;
-/// Time allowed for a worker call.
+/// Time allowed for a worker call beyond the time that the worker may hold it.
 const WORKER_TIME: Duration = Duration::from_millis(1_000);
 /// Time allowed for reading the VM list.
 const VMS_TIME: Duration = Duration::from_millis(1_500);
@@ -185,7 +185,8 @@
             Effect::Worker { id, address, call } => {
                 let workers = self.edges.workers.clone();
                 self.spawn(async move {
-                    let result = workers.call(address, *call, WORKER_TIME).await;
+                    let limit = WORKER_TIME + Duration::from_millis(call.wait_ms);
+                    let result = workers.call(address, *call, limit).await;
                     Event::Worker { id, result }
                 });
             }
@@ -197,9 +198,9 @@
                     Event::Executed { id, result }
                 });
             }
-            Effect::ListVms => {
+            Effect::ListVms { known } => {
                 let platform = self.edges.platform.clone();
-                self.spawn(async move { Event::Vms(platform.vms(VMS_TIME).await) });
+                self.spawn(async move { Event::Vms(platform.vms(known, VMS_TIME).await) });
             }
             Effect::Log(notice) => self.log(&notice),
             Effect::Record {
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -118,6 +118,7 @@
     pub(crate) held: Vec<WorkerId>,
     pub(crate) sample_from: usize,
     failed: Vec<JobRef>,
+    retired: Vec<JobRef>,
 }
 
 impl Engine {
@@ -142,6 +143,7 @@
             held: Vec::new(),
             sample_from: 0,
             failed: Vec::new(),
+            retired: Vec::new(),
         }
     }
 
@@ -411,10 +413,17 @@
         let entry = &mut self.queues.jobs[job as usize];
         if entry.ended && entry.running == 0 && entry.seq != 0 {
             entry.seq = 0;
-            self.queues.free_jobs.push(job);
+            self.retired.push(job);
         }
     }
 
+    /// Moves the jobs that are over to `out`. Their indexes are given to new
+    /// jobs only after this, so the caller can forget them first.
+    pub fn collect_retired(&mut self, out: &mut Vec<JobRef>) {
+        self.queues.free_jobs.extend_from_slice(&self.retired);
+        out.append(&mut self.retired);
+    }
+
     /// Records the end of an attempt; false when no such attempt runs there.
     pub fn ended(
         &mut self,
--- a/crates/standin/benches/placement.rs
+++ b/crates/standin/benches/placement.rs
@@ -44,6 +44,7 @@
     running: Vec<(JobRef, u32, u64, WorkerId)>,
     queued: Vec<JobRef>,
     now_ms: u64,
+    retired: Vec<JobRef>,
 }
 
 fn each(rng: &mut fastrand::Rng, size: Size) -> Resources {
@@ -67,6 +68,7 @@
             running: Vec::new(),
             queued: Vec::new(),
             now_ms: 1,
+            retired: Vec::new(),
         };
         for team in 0..TEAMS {
             let id = fleet.engine.add_team(1 + team as u32 % 7);
@@ -149,6 +151,8 @@
 
 fn took_note(fleet: &mut Fleet, size: Size, out: &mut Vec<Decision>) {
     fleet.note(out);
+    fleet.engine.collect_retired(&mut fleet.retired);
+    fleet.retired.clear();
     if fleet.rng.u32(..8) == 0 {
         let at = fleet.rng.usize(..fleet.queued.len());
         let job = fleet.queued.swap_remove(at);
--- a/crates/standin/src/cell/report.rs
+++ b/crates/standin/src/cell/report.rs
@@ -65,6 +65,7 @@
         let hosts = world.hosts.iter();
         let hosts: u64 = hosts.map(|h| h.worker_switches.bytes.load(relaxed)).sum();
         let seconds = length.as_secs_f64();
+        eprintln!("bytes: mesh {mesh}, platform {doors}, workers {hosts}");
         // Each datagram and worker call has one end at another node.
         let bytes = (mesh * 2 + doors + hosts) as f64 / seconds / daemons.list.len() as f64;
         Self {
@@ -210,6 +211,7 @@
         let path = format!("/v1/jobs/{}", job.id);
         let limit = Duration::from_secs(4);
         let mut phase = String::new();
+        let mut explanation = String::new();
         for _ in 0..5 {
             let (answer, _) = shared
                 .call(Method::GET, &path, &Bytes::new(), &headers, limit)
@@ -217,12 +219,20 @@
             let value = answer.and_then(|a| serde_json::from_slice(a.body()).ok());
             let value: serde_json::Value = value.unwrap_or_default();
             phase = value["phase"].as_str().unwrap_or_default().to_owned();
+            explanation = value["explanation"].to_string();
             let known = !phase.is_empty() || value["reason"] == "no_job";
             if known {
                 break;
             }
             tokio::time::sleep(Duration::from_millis(500)).await;
         }
+        if shared.options.progress {
+            let history = lock(&shared.world.ledger).history_of(&job.id);
+            eprintln!(
+                "incomplete: {} is {phase:?}: {explanation} {history:?}",
+                job.id
+            );
+        }
         if phase != "active" {
             eprintln!("lost: {} is {phase:?}", job.id);
             lost += u64::from(job.tasks);
--- a/crates/standin/src/cell/world.rs
+++ b/crates/standin/src/cell/world.rs
@@ -10,8 +10,8 @@
 
 use compact_str::format_compact;
 use control::Tables;
-use model::{Ended, Life, Name, Vm};
-use node::{Commits, Listing, Reads, Scans};
+use model::{Ended, Life, Listing, Name, Vm};
+use node::{Commits, Lists, ReadAnswer, Reads};
 use tokio::time::Instant;
 
 use crate::deployment::{Deployment, Pool};
@@ -48,7 +48,7 @@
     pub(crate) started: Instant,
     pub(crate) ledger: Mutex<Ledger>,
     pub(crate) table: Mutex<Table>,
-    pub(crate) vms: Mutex<Vec<Vm>>,
+    pub(crate) vms: Mutex<Listing>,
     pub(crate) hosts: Vec<Arc<Host>>,
     pub(crate) doors: Mutex<Vec<Door>>,
 }
@@ -70,7 +70,7 @@
         for (vm, pool) in deployment.workers() {
             lock(&world.ledger).add_vm(&vm.name, vm.capacity);
             world.hosts.push(Arc::new(host(&vm, &pool)));
-            lock(&world.vms).push(vm);
+            lock(&world.vms).vms.push(vm);
         }
         Ok(world)
     }
@@ -85,7 +85,7 @@
             let (world, host_) = (self.clone(), host.clone());
             let handler = move |call: Call| {
                 let (world, host) = (world.clone(), host_.clone());
-                async move { serve_worker(&world, &host, &call) }
+                async move { serve_worker(&world, &host, &call).await }
             };
             let switches = host.worker_switches.clone();
             let worker = http::serve(self.started, switches, handler).await?;
@@ -97,8 +97,9 @@
             let switches = host.executor_switches.clone();
             let executor = http::serve(self.started, switches, handler).await?;
             let mut vms = lock(&self.vms);
-            vms[at].address = format_compact!("{worker}");
-            if let Some(entry) = &mut vms[at].executor {
+            vms.version = 1;
+            vms.vms[at].address = format_compact!("{worker}");
+            if let Some(entry) = &mut vms.vms[at].executor {
                 entry.address = format_compact!("{executor}");
             }
         }
@@ -156,8 +157,21 @@
     /// Announces that a VM leaves.
     pub(crate) fn announce_leaving(&self, at: usize) {
         let mut vms = lock(&self.vms);
-        vms[at].life = Life::Leaving;
-        lock(&self.ledger).leaving(&vms[at].name, self.now_ms());
+        vms.version += 1;
+        vms.vms[at].life = Life::Leaving;
+        lock(&self.ledger).leaving(&vms.vms[at].name, self.now_ms());
+    }
+
+    fn listing(&self, known: u64) -> Listing {
+        let listing = lock(&self.vms);
+        let vms = match listing.version == known {
+            true => Vec::new(),
+            false => listing.vms.clone(),
+        };
+        Listing {
+            version: listing.version,
+            vms,
+        }
     }
 
     /// Stops a worker VM with everything on it.
@@ -191,14 +205,26 @@
     }
 }
 
-fn serve_worker(world: &World, host: &Host, call: &Call) -> Answer {
+async fn serve_worker(world: &World, host: &Host, call: &Call) -> Answer {
     let Ok(order) = serde_json::from_slice::<model::Call>(&call.body) else {
         return http::status(400);
     };
-    let mut worker = lock(&host.worker);
-    let now_ms = world.now_ms();
-    let report = worker.call(&order, now_ms);
-    world.record(&mut worker, now_ms);
+    let received_ms = world.now_ms();
+    let mut report = {
+        let mut worker = lock(&host.worker);
+        let report = worker.call(&order, received_ms);
+        world.record(&mut worker, received_ms);
+        report
+    };
+    let until_ms = received_ms + order.wait_ms;
+    while report.accepted && report.unchanged && world.now_ms() < until_ms {
+        tokio::time::sleep(WORKER_TICK).await;
+        let worker = lock(&host.worker);
+        if !worker.may_hold(&order) {
+            report = worker.report(true, order.known, world.now_ms());
+            break;
+        }
+    }
     http::json(&report)
 }
 
@@ -249,13 +275,14 @@
     let body = &call.body;
     let tables = match call.path.as_str() {
         "/v1/vms" => {
-            let vms = lock(&world.vms).clone();
-            return http::json(&Listing { vms });
+            let Ok(asked) = serde_json::from_slice::<Lists>(body) else {
+                return http::status(400);
+            };
+            return http::json(&world.listing(asked.known));
         }
-        "/v1/read" => serde_json::from_slice::<Reads>(body).map(|r| Tables::Read(r.rows)),
-        "/v1/scan" => serde_json::from_slice::<Scans>(body).map(|s| Tables::Scan {
-            prefix: s.prefix,
-            after: s.after,
+        "/v1/read" => serde_json::from_slice::<Reads>(body).map(|r| Tables::Read {
+            rows: r.rows,
+            scans: r.scans,
         }),
         "/v1/commit" => {
             serde_json::from_slice::<Commits>(body).map(|c| Tables::Commit(c.transactions))
@@ -266,8 +293,7 @@
         return http::status(400);
     };
     match lock(&world.table).serve(&tables) {
-        control::Answered::Rows(rows) => http::json(&rows),
-        control::Answered::Scanned(rows, version) => http::json(&(rows, version)),
+        control::Answered::Read { rows, scans } => http::json(&ReadAnswer { rows, scans }),
         control::Answered::Committed(results) => http::json(&results),
     }
 }
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -69,7 +69,7 @@
     answer
 }
 
-/// Bytes of HTTP heads, roughly, per call and answer.
+/// Bytes of HTTP, TCP and IP heads, roughly, in each direction of a call.
 const HEAD_BYTES: u64 = 250;
 
 /// Serves on a loopback port until the process ends; returns the address.
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -56,6 +56,7 @@
     pub completed: HashMap<(JobId, TaskIndex), u64>,
     /// Starts in each second.
     pub starts_by_second: BTreeMap<u64, u64>,
+    history: HashMap<JobId, Vec<String>>,
     /// Details of the first broken promises, for the reader.
     pub details: Vec<String>,
 }
@@ -81,6 +82,16 @@
         vm.leaving_since.get_or_insert(now_ms);
     }
 
+    fn note(&mut self, job: &JobId, text: String) {
+        self.history.entry(job.clone()).or_default().push(text);
+    }
+
+    /// Starts and ends of a job's tasks.
+    #[must_use]
+    pub fn history_of(&self, job: &JobId) -> Vec<String> {
+        self.history.get(job).cloned().unwrap_or_default()
+    }
+
     fn detail(&mut self, text: String) {
         if self.details.len() < MAX_DETAILS {
             self.details.push(text);
@@ -119,6 +130,7 @@
         each: Resources,
         now_ms: u64,
     ) {
+        self.note(job, format!("start {task} on {vm} at {now_ms}"));
         self.started += 1;
         *self.starts_by_second.entry(now_ms / 1_000).or_default() += 1;
         self.take(vm, team, each, now_ms);
@@ -149,6 +161,7 @@
         each: Resources,
         completed: bool,
     ) {
+        self.note(job, format!("end {task} on {vm} {completed}"));
         self.give(team, each);
         let entry = self.vms.entry(vm.clone()).or_default();
         entry.used = entry.used.minus(each);
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -21,10 +21,10 @@
     /// Serves one call.
     pub fn serve(&mut self, call: &Tables) -> Answered {
         match call {
-            Tables::Read(rows) => {
-                Answered::Rows(rows.iter().map(|(k, v)| self.read(k, *v)).collect())
-            }
-            Tables::Scan { prefix, after } => self.scan(prefix, *after),
+            Tables::Read { rows, scans } => Answered::Read {
+                rows: rows.iter().map(|(k, v)| self.read(k, *v)).collect(),
+                scans: scans.iter().map(|(p, v)| self.scan(p, *v)).collect(),
+            },
             Tables::Commit(transactions) => {
                 self.commits += 1;
                 Answered::Committed(transactions.iter().map(|t| self.commit(t)).collect())
@@ -38,7 +38,7 @@
         (key.clone(), (!unchanged).then_some(cell))
     }
 
-    fn scan(&self, prefix: &Name, after: u64) -> Answered {
+    fn scan(&self, prefix: &Name, after: u64) -> (Vec<Row>, u64) {
         let from = self.rows.range(prefix.clone()..);
         let rows = from
             .take_while(|(key, _)| key.starts_with(prefix.as_str()))
@@ -48,7 +48,7 @@
                 cell: cell.clone(),
             })
             .collect();
-        Answered::Scanned(rows, self.version)
+        (rows, self.version)
     }
 
     fn commit(&mut self, transaction: &Transaction) -> Result<u64, Fault> {
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -57,6 +57,7 @@
     tasks: Vec<Task>,
     finished: Vec<Finished>,
     seen: BTreeSet<(JobId, TaskIndex, Attempt)>,
+    version: u64,
     /// What happened since it was last taken.
     pub happenings: Vec<Happening>,
 }
@@ -76,6 +77,7 @@
             tasks: Vec::new(),
             finished: Vec::new(),
             seen: BTreeSet::new(),
+            version: 1,
             happenings: Vec::new(),
         }
     }
@@ -95,19 +97,42 @@
             self.lease_until_ms = now_ms + call.lease_ms;
             self.obey(call, now_ms);
         }
-        Report {
+        self.report(accepted, call.known, now_ms)
+    }
+
+    /// The report, without its lists when the caller knows the version.
+    #[must_use]
+    pub fn report(&self, accepted: bool, known: u64, now_ms: u64) -> Report {
+        let mut report = Report {
             epoch: self.epoch,
             holder: self.holder.clone(),
             contact_ms: now_ms - self.contact_ms,
             accepted,
-            running: self.tasks.iter().map(running).collect(),
-            finished: self.finished.clone(),
+            version: self.version,
+            unchanged: known == self.version,
+            ..Report::default()
+        };
+        if !report.unchanged {
+            report.running = self.tasks.iter().map(running).collect();
+            report.finished = self.finished.clone();
         }
+        report
+    }
+
+    /// True while the answer to an accepted call may be held: nothing changed
+    /// and no newer call came.
+    #[must_use]
+    pub fn may_hold(&self, call: &Call) -> bool {
+        self.version == call.known && self.epoch == call.epoch && self.seq == call.seq
     }
 
     fn obey(&mut self, call: &Call, now_ms: u64) {
+        let before = self.finished.len();
         self.finished
             .retain(|f| !call.acks.contains(&(f.job.clone(), f.task, f.attempt)));
+        if self.finished.len() != before {
+            self.version += 1;
+        }
         for start in &call.starts {
             self.start(start, now_ms);
         }
@@ -136,6 +161,7 @@
         if self.seen.len() > MAX_SEEN {
             self.seen.pop_first();
         }
+        self.version += 1;
         let (run_ms, ended) = true_run(start, self.faults);
         self.happenings.push(Happening::Started(start.clone()));
         self.tasks.push(Task {
@@ -157,6 +183,7 @@
                 at += 1;
                 continue;
             }
+            self.version += 1;
             let task = self.tasks.swap_remove(at);
             let ended = if over { task.ended } else { Ended::Lapsed };
             self.finished.push(Finished {
@@ -180,6 +207,7 @@
         self.seen.clear();
         (self.epoch, self.seq, self.contact_ms, self.lease_until_ms) = (0, 0, 0, 0);
         self.holder = Name::default();
+        self.version += 1;
     }
 
     /// Resources that running tasks hold.
