--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -145,6 +145,8 @@
         self.log(Notice::ConfigInForce(config.version));
         self.configuration.config = config;
         self.apply_config();
+        // Tells the peers at once, so that the change is soon confirmed.
+        self.members.beat_now();
     }
 
     pub(crate) fn config_polled(&mut self, cell: Option<Cell>, sent: Duration) {
--- a/crates/control/src/dispatch.rs
+++ b/crates/control/src/dispatch.rs
@@ -22,6 +22,14 @@
 const AVOID_TIME: Duration = Duration::from_secs(2);
 /// First guess of a run's length in ms.
 const FIRST_RUN_MS: f64 = 50.0;
+/// Time after which a run has ended even if its answer never came.
+const MAX_RUN: Duration = Duration::from_secs(30);
+/// Means of a run after which an idempotent request is sent once more.
+const HEDGE_MEANS: f64 = 6.0;
+/// Shortest time before a request is sent once more.
+const MIN_HEDGE: Duration = Duration::from_millis(500);
+/// Means of a run that must be left to the deadline for a request to be sent.
+const MIN_LEFT_MEANS: f64 = 1.5;
 /// Weight of the newest run in the mean.
 const GAIN: f64 = 0.05;
 
@@ -54,6 +62,8 @@
     executor: usize,
     started: Duration,
     charged: f64,
+    /// True once the request was queued again; that run answers for it.
+    hedged: bool,
 }
 
 /// One team's line at one service.
@@ -319,7 +329,7 @@
             team,
             queue: waiting.serve.queue.clone(),
             body: waiting.serve.body.clone(),
-            timeout: waiting.deadline.saturating_sub(self.now),
+            timeout: MAX_RUN,
         })));
         self.dispatcher.runs.insert(
             id,
@@ -328,6 +338,7 @@
                 executor,
                 started: self.now,
                 charged,
+                hedged: false,
             },
         );
     }
@@ -351,15 +362,19 @@
             Err(ExecuteFault::NotRun) => {
                 self.free_slot(run.executor, &team);
                 self.avoid(run.executor);
-                self.run_again(run.waiting);
+                if !run.hedged {
+                    self.run_again(run.waiting);
+                }
             }
             Err(ExecuteFault::Lost) => {
                 self.avoid(run.executor);
-                let until = run.waiting.deadline.max(self.now);
+                let until = run.started + MAX_RUN;
                 let ghost = (until, id, run.executor, team);
                 self.dispatcher.ghosts.insert(ghost);
                 let (origin, id) = (&run.waiting.origin, run.waiting.serve.id);
-                self.answer_origin(origin, id, Answer::Unknown);
+                if !run.hedged {
+                    self.answer_origin(origin, id, Answer::Unknown);
+                }
             }
         }
     }
@@ -417,16 +432,42 @@
         }
     }
 
-    /// Refuses requests whose deadline passed before they were sent, and
-    /// frees slots of runs that must have ended.
+    /// Sends idempotent requests once more whose run takes far longer than
+    /// usual: its connection may have gone silent. The first answer counts.
+    fn hedge(&mut self) {
+        let mut again = Vec::new();
+        for run in self.dispatcher.runs.values_mut() {
+            let waiting = &run.waiting;
+            let mean_ms = self
+                .dispatcher
+                .services
+                .get(&waiting.serve.service)
+                .map_or(FIRST_RUN_MS, |s| s.mean_ms);
+            let usual = Duration::from_secs_f64(mean_ms * HEDGE_MEANS / 1_000.0).max(MIN_HEDGE);
+            let slow = run.started + usual <= self.now && self.now < waiting.deadline;
+            if slow && !run.hedged && !waiting.serve.once && self.gateway.spend_retry() {
+                run.hedged = true;
+                again.push((run.executor, waiting.clone()));
+            }
+        }
+        for (executor, waiting) in again {
+            self.avoid(executor);
+            self.enqueue(waiting, true);
+        }
+    }
+
+    /// Refuses requests that can't be answered before their deadline any more,
+    /// and frees slots of runs that must have ended.
     pub(crate) fn tick_dispatcher(&mut self) {
         let now = self.now;
+        self.hedge();
         let mut late: Vec<(Name, u64)> = Vec::new();
         for service in self.dispatcher.services.values_mut() {
+            let needed = Duration::from_secs_f64(service.mean_ms * MIN_LEFT_MEANS / 1_000.0);
             for line in service.lines.values_mut() {
                 let before = line.waiting.len();
                 line.waiting.retain(|w| {
-                    let over = w.deadline <= now;
+                    let over = w.deadline <= now + needed && w.arrived < now;
                     if over {
                         late.push((w.origin.clone(), w.serve.id));
                     }
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -109,6 +109,15 @@
 }
 
 impl Gateway {
+    /// Takes one retry from the budget; false when there is none.
+    pub(crate) fn spend_retry(&mut self) -> bool {
+        let has = self.retries >= 1.0;
+        if has {
+            self.retries -= 1.0;
+        }
+        has
+    }
+
     pub(crate) fn is_idle(&self) -> bool {
         self.pending.is_empty() && self.submissions.is_empty() && self.questions.is_empty()
     }
@@ -349,7 +358,9 @@
             Answer::Refused(refusal) if more && may_reroute(refusal.reason) => {
                 self.reroute(id, answer);
             }
-            Answer::Unknown if !once && more && self.spend_retry() => self.reroute(id, answer),
+            Answer::Unknown if !once && more && self.gateway.spend_retry() => {
+                self.reroute(id, answer)
+            }
             _ => self.finish(id, answer),
         }
     }
@@ -369,14 +380,6 @@
         self.choose_target(&team, &service, &tried)
     }
 
-    fn spend_retry(&mut self) -> bool {
-        let has = self.gateway.retries >= 1.0;
-        if has {
-            self.gateway.retries -= 1.0;
-        }
-        has
-    }
-
     /// A request that surely did not leave this node.
     pub(crate) fn serve_unsent(&mut self, id: u64, to: &Name) {
         let refusal = Refusal::after(Reason::NoBackend, Duration::from_secs(1));
@@ -495,11 +498,30 @@
             }
             Stage::Routed(owner) => {
                 self.tell_drop(id, &owner);
-                self.finish(id, Answer::Unknown);
+                self.give_up(id);
             }
         }
     }
 
+    /// Answers "unknown" at the deadline. A request that must run once stays
+    /// for a while, so that a late answer is still recorded for a retry.
+    fn give_up(&mut self, id: u64) {
+        let Some(pending) = self.gateway.pending.get_mut(&id) else {
+            return;
+        };
+        let caller = pending.caller.take();
+        if pending.held.is_none() || caller.is_none() {
+            pending.caller = caller;
+            return self.finish(id, Answer::Unknown);
+        }
+        pending.deadline = self.now + MAX_BUDGET;
+        self.gateway.deadlines.insert((pending.deadline, id));
+        self.log(Notice::OutcomeUnknown(id));
+        if let Some(caller) = caller {
+            self.reply(caller, Reply::Answer(Answer::Unknown));
+        }
+    }
+
     /// Refuses a request whose claim is still under way.
     fn abandon(&mut self, id: u64, refusal: Refusal) {
         let Some(pending) = self.gateway.pending.get_mut(&id) else {
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Makes the next sign of life due for every peer.
+    pub(crate) fn beat_now(&mut self) {
+        for member in &mut self.list {
+            member.next_beat = Duration::ZERO;
+        }
+    }
+
     pub(crate) fn get(&self, name: &Name) -> Option<&Member> {
         self.list.iter().find(|m| m.identity.name == *name)
     }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -76,6 +76,24 @@
         self.draining_since.is_none() && self.configuration.config.version > 0
     }
 
+    /// Version of the configuration in force here.
+    #[must_use]
+    pub fn config_version(&self) -> u64 {
+        self.configuration.config.version
+    }
+
+    /// True when the configuration in force here has this team.
+    #[must_use]
+    pub fn has_team(&self, team: &Name) -> bool {
+        self.configuration.config.teams.contains_key(team)
+    }
+
+    /// True when this node owns its data centre's workers.
+    #[must_use]
+    pub fn is_owner(&self) -> bool {
+        self.owner.is_active()
+    }
+
     /// Handles one event at `now` and appends what is to be done to `out`.
     pub fn step(&mut self, event: Event, now: Duration, out: &mut Vec<Effect>) {
         std::mem::swap(&mut self.out, out);
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -49,15 +49,15 @@
     fn default() -> Self {
         Self {
             beat: Duration::from_millis(500),
-            beat_far: Duration::from_millis(500),
-            peer_silent: Duration::from_millis(2_500),
-            poll: Duration::from_millis(500),
+            beat_far: Duration::from_millis(1_000),
+            peer_silent: Duration::from_millis(3_000),
+            poll: Duration::from_millis(1_000),
             key_fresh: Duration::from_millis(4_000),
             sync: Duration::from_millis(4_000),
             task_lease: Duration::from_secs(20),
             owner_lease: Duration::from_secs(4),
             margin: Duration::from_secs(1),
-            vm_list: Duration::from_secs(1),
+            vm_list: Duration::from_secs(2),
             store_timeout: Duration::from_secs(2),
             retention: Duration::from_secs(900),
         }
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -27,9 +27,7 @@
 /// Name in the shared certificate.
 pub(crate) const MESH_NAME: &str = "greengagemast.mesh";
 /// Silence after which a connection is given up.
-const IDLE_MS: u32 = 2_500;
-/// Period of keep-alive packets.
-const KEEP_ALIVE: Duration = Duration::from_millis(800);
+const IDLE_MS: u32 = 3_500;
 /// Time allowed for a dial.
 const DIAL_TIME: Duration = Duration::from_millis(1_000);
 /// Time allowed for one frame.
@@ -100,7 +98,6 @@
     let mut transport = TransportConfig::default();
     transport
         .max_idle_timeout(Some(IdleTimeout::from(quinn::VarInt::from_u32(IDLE_MS))))
-        .keep_alive_interval(Some(KEEP_ALIVE))
         .max_concurrent_uni_streams(quinn::VarInt::from_u32(MAX_STREAMS))
         .max_concurrent_bidi_streams(quinn::VarInt::from_u32(0));
     Arc::new(transport)
--- a/crates/standin/src/cell.rs
+++ b/crates/standin/src/cell.rs
@@ -66,13 +66,13 @@
     ));
     let operators = tokio::spawn(operators::run(shared.clone()));
     let load = tokio::spawn(load::run(shared.clone()));
-    let before = daemons.usage();
+    let before = report::Reading::take(&world, &daemons);
     let begin = Instant::now();
     let injection = faults::inject(&shared, &mut daemons);
     let (injected, ()) = tokio::join!(injection, report::watch(&shared));
     injected?;
-    let after = daemons.usage();
-    let control = report::Control::between(&before, &after, begin.elapsed(), &world, &daemons);
+    let after = report::Reading::take(&world, &daemons);
+    let control = report::Control::between(&before, &after, begin.elapsed());
     load.await?;
     let spread = operators.await?;
     report::drain(&shared, DRAIN_TIME).await;
--- a/crates/standin/src/cell/report.rs
+++ b/crates/standin/src/cell/report.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -34,18 +35,39 @@
     cpu_percent: f64,
     rss_mb: f64,
     bytes_per_second: f64,
+    mesh_bytes_per_second: f64,
+    platform_bytes_per_second: f64,
+    worker_bytes_per_second: f64,
+}
+
+/// Bytes moved for control so far, and each daemon's use.
+#[derive(Clone, Debug)]
+pub(crate) struct Reading {
+    usage: Vec<Option<Usage>>,
+    mesh: u64,
+    platform: u64,
+    workers: u64,
+}
+
+impl Reading {
+    /// Takes a reading.
+    pub(crate) fn take(world: &World, daemons: &Daemons) -> Self {
+        let links = daemons.links.iter();
+        let doors = lock(&world.doors);
+        let hosts = world.hosts.iter();
+        Self {
+            usage: daemons.usage(),
+            mesh: links.map(|(_, _, l)| l.bytes.load(Relaxed)).sum(),
+            platform: doors.iter().map(|d| d.switches.bytes.load(Relaxed)).sum(),
+            workers: hosts.map(|h| h.worker_switches.bytes.load(Relaxed)).sum(),
+        }
+    }
 }
 
 impl Control {
     /// Cost between two readings; restarted daemons are left out.
-    pub(crate) fn between(
-        before: &[Option<Usage>],
-        after: &[Option<Usage>],
-        length: Duration,
-        world: &World,
-        daemons: &Daemons,
-    ) -> Self {
-        let pairs = before.iter().zip(after);
+    pub(crate) fn between(before: &Reading, after: &Reading, length: Duration) -> Self {
+        let pairs = before.usage.iter().zip(&after.usage);
         let same = pairs.filter_map(|(b, a)| Some(((*b)?, (*a)?)));
         let same: Vec<_> = same.filter(|(b, a)| a.cpu >= b.cpu).collect();
         let count = same.len().max(1) as f64;
@@ -54,24 +76,19 @@
             .map(|(b, a)| (a.cpu - b.cpu).as_secs_f64())
             .sum();
         let rss: f64 = same.iter().map(|(_, a)| a.rss_bytes as f64).sum();
-        let relaxed = std::sync::atomic::Ordering::Relaxed;
-        let mesh: u64 = daemons
-            .links
-            .iter()
-            .map(|(_, _, l)| l.bytes.load(relaxed))
-            .sum();
-        let doors = lock(&world.doors);
-        let doors: u64 = doors.iter().map(|d| d.switches.bytes.load(relaxed)).sum();
-        let hosts = world.hosts.iter();
-        let hosts: u64 = hosts.map(|h| h.worker_switches.bytes.load(relaxed)).sum();
         let seconds = length.as_secs_f64();
-        eprintln!("bytes: mesh {mesh}, platform {doors}, workers {hosts}");
-        // Each datagram and worker call has one end at another node.
-        let bytes = (mesh * 2 + doors + hosts) as f64 / seconds / daemons.list.len() as f64;
+        let per_node = |b: u64, a: u64| (a - b) as f64 / seconds / before.usage.len() as f64;
+        // Each datagram is sent by one daemon and received by another.
+        let mesh = 2.0 * per_node(before.mesh, after.mesh);
+        let platform = per_node(before.platform, after.platform);
+        let workers = per_node(before.workers, after.workers);
         Self {
             cpu_percent: 100.0 * cpu / count / seconds,
             rss_mb: rss / count / 1e6,
-            bytes_per_second: bytes,
+            bytes_per_second: mesh + platform + workers,
+            mesh_bytes_per_second: mesh,
+            platform_bytes_per_second: platform,
+            worker_bytes_per_second: workers,
         }
     }
 }
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -69,8 +69,9 @@
     answer
 }
 
-/// Bytes of HTTP, TCP and IP heads, roughly, in each direction of a call.
-const HEAD_BYTES: u64 = 250;
+/// Bytes of heads in each direction of a call: about 90 of HTTP and two
+/// packets' 52 of TCP and IP.
+const HEAD_BYTES: u64 = 190;
 
 /// Serves on a loopback port until the process ends; returns the address.
 ///
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod http;
 pub mod ledger;
 pub mod naive;
+pub mod schedule;
 pub mod table;
 pub mod worker;
