Reserve parts of workers for gangs; load the schedules fully; operator's command

Mutations of the reducer showed that the schedules were too idle to see doubled or overcommitted tasks. Added the greengagemast command.

--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -55,6 +55,11 @@
         /// Question.
         query: wire::Query,
     },
+    /// Status of a job of any team, for operators.
+    Explain {
+        /// Job.
+        job: JobId,
+    },
     /// A change of configuration, on top of `expect` when given.
     Change {
         /// Change.
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -25,6 +25,8 @@
 const SAVE_TIME: Duration = Duration::from_secs(60);
 /// Pause after a failed save.
 const SAVE_PAUSE: Duration = Duration::from_secs(1);
+/// In place of a team in operators' questions; no team can have this name.
+pub(crate) const OPERATORS: &str = "*";
 /// Team that pays for tasks of unknown jobs.
 const STRAY_TEAM: &str = "";
 
@@ -486,7 +488,7 @@
             _ if !self.owner.is_active() => {
                 Refusal::after(Reason::NoBackend, Duration::from_secs(1))
             }
-            Some(e) if e.job.team == *team || open(team) => {
+            Some(e) if e.job.team == *team || *team == OPERATORS || open(team) => {
                 return self.answer_question(origin, id, job, query);
             }
             // Another team's job is not shown to exist.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use model::{Epoch, Fault, Life, Listing, Name, Role};
-use wire::Frame;
+use wire::{Frame, Query};
 
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatcher;
 use crate::event::{Ask, CallerId, Effect, Event, Fleet, Reply, Tables};
 use crate::gateway::Gateway;
+use crate::jobs::OPERATORS;
 use crate::membership::Members;
 use crate::notice::Notice;
 use crate::owner::Owner;
@@ -173,6 +174,10 @@
                 spec,
             } => self.ask_submit(caller, queue, key, idempotency, spec),
             Ask::Job { key, job, query } => self.ask_job(caller, key, job, query),
+            Ask::Explain { job } => {
+                let operators = Name::from(OPERATORS);
+                self.question(caller, operators, job, Query::Status);
+            }
             Ask::Change { change, expect } => self.ask_change(caller, change, expect),
             Ask::Config => {
                 let config = Box::new(self.configuration.config.clone());
--- /dev/null
+++ b/crates/ctl/src/bin/greengagemast.rs
@@ -0,0 +1,9 @@
+//! The operator's command.
+//!
+//! Invariant: exit codes are those of `ctl::Exit`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ctl::main_with(std::env::args_os().collect())
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -4,7 +4,7 @@
 //! is compared by hash in constant time.
 
 use control::{Ask, Reply};
-use model::{Change, Conflict, Refusal, key};
+use model::{Change, Conflict, JobId, Reason, Refusal, key};
 use salvo::http::StatusCode;
 use salvo::oapi::endpoint;
 use salvo::prelude::*;
@@ -46,6 +46,7 @@
         .push(Router::with_path("changes").post(post_change))
         .push(Router::with_path("fleet").get(get_fleet))
         .push(Router::with_path("metrics").get(get_metrics))
+        .push(Router::with_path("jobs/{job}").get(get_job))
 }
 
 /// Routes that the platform's balancer asks.
@@ -113,6 +114,26 @@
     }
 }
 
+/// Why a job of any team waits, or where it went.
+#[endpoint]
+async fn get_job(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let job = JobId::from(req.param::<&str>("job").unwrap_or_default());
+    let (status, body) = match ask(depot, Ask::Explain { job }).await {
+        Some(Reply::Job(status)) => return res.render(Json(status)),
+        Some(Reply::Refused(reason)) => {
+            let code = match reason.reason {
+                Reason::NoJob => StatusCode::BAD_REQUEST,
+                _ => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            let message = reason.reason.to_string();
+            (code, Changed::Refused { reason, message })
+        }
+        _ => (StatusCode::GATEWAY_TIMEOUT, Changed::Unknown),
+    };
+    res.status_code(status);
+    res.render(Json(body));
+}
+
 /// Quantiles of the waiting times measured here.
 #[endpoint]
 async fn get_metrics(depot: &mut Depot, res: &mut Response) {
--- a/crates/policy/src/backfill.rs
+++ b/crates/policy/src/backfill.rs
@@ -22,7 +22,7 @@
     pub(crate) fn backfill(&mut self, out: &mut Vec<Decision>) {
         let count = self.reservation.as_ref().map_or(0, |r| r.workers.len());
         for at in 0..count {
-            let Some(worker) = self.reservation.as_ref().map(|r| r.workers[at]) else {
+            let Some((worker, _)) = self.reservation.as_ref().map(|r| r.workers[at]) else {
                 return;
             };
             let within_ms = self.remaining_ms(worker) / SAFETY;
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -217,6 +217,7 @@
             accelerated,
             state: State::Open,
             reserved_for: None,
+            reserved: Resources::ZERO,
             health: Health::default(),
             tasks: Vec::with_capacity(TASKS_PER_WORKER),
         });
--- a/crates/policy/src/gang.rs
+++ b/crates/policy/src/gang.rs
@@ -1,7 +1,7 @@
 //! Gangs: all tasks start together or none does.
 //!
-//! A gang that has waited too long gets a reservation: workers that take no
-//! other work until the gang starts. There is at most one reservation, so two
+//! A gang that has waited too long gets a reservation: parts of workers that
+//! are kept from other work, as they become free, until the gang starts. There is at most one reservation, so two
 //! gangs never hold parts of what the other needs. Tasks whose learned run
 //! time ends well before the reservation's longest running task may still be
 //! placed on reserved workers; declared run times are not trusted for that.
@@ -20,12 +20,12 @@
 /// Times that a job's tasks may be preempted before they are left alone.
 pub(crate) const MAX_PREEMPTIONS: u32 = 3;
 
-/// Workers kept for one gang.
+/// Parts of workers kept for one gang.
 #[derive(Debug)]
 pub(crate) struct Reservation {
     pub(crate) job: JobRef,
     pub(crate) since_ms: u64,
-    pub(crate) workers: Vec<WorkerId>,
+    pub(crate) workers: Vec<(WorkerId, Resources)>,
     pub(crate) preempted: bool,
 }
 
@@ -97,10 +97,7 @@
         if workers.is_empty() {
             return;
         }
-        for worker in &workers {
-            self.workers[*worker as usize].reserved_for = Some(job);
-            self.offer_quietly(*worker);
-        }
+        self.set_reserved(&workers, Some(job));
         self.reservation = Some(Reservation {
             job,
             since_ms: self.now_ms,
@@ -109,31 +106,31 @@
         });
     }
 
-    /// Workers that together hold `count` tasks once their batch tasks end;
-    /// the emptiest first. Empty when there are not enough.
-    fn reservable(&self, each: &Resources, count: usize) -> Vec<WorkerId> {
-        let mut ranked: Vec<(u32, WorkerId)> = Vec::new();
+    /// Parts of workers that together hold `count` tasks once batch tasks end;
+    /// those with most room now first. Empty when there are not enough.
+    fn reservable(&self, each: &Resources, count: usize) -> Vec<(WorkerId, Resources)> {
+        let mut ranked: Vec<(usize, WorkerId)> = Vec::new();
         for (id, worker) in self.workers.iter().enumerate() {
             let usable = worker.state == State::Open && worker.reserved_for.is_none();
             if usable && each.fits(&self.room_without_batch(id as WorkerId)) {
-                let running = worker.tasks.len() as u32;
-                ranked.push((running, id as WorkerId));
+                ranked.push((copies(&worker.free, each), id as WorkerId));
             }
         }
-        ranked.sort_unstable();
-        let mut workers = Vec::new();
-        let mut places = 0;
+        ranked.sort_unstable_by_key(|(now, id)| (std::cmp::Reverse(*now), *id));
+        let mut parts = Vec::new();
+        let mut left = count;
         for (_, worker) in ranked {
-            if places >= count {
+            if left == 0 {
                 break;
             }
-            places += copies(&self.room_without_batch(worker), each);
-            workers.push(worker);
+            let places = copies(&self.room_without_batch(worker), each).min(left);
+            left -= places;
+            parts.push((worker, each.times(places as u32)));
         }
-        if places < count {
-            workers.clear();
+        if left > 0 {
+            parts.clear();
         }
-        workers
+        parts
     }
 
     /// Room on a worker once its preemptible tasks have ended.
@@ -161,7 +158,7 @@
         let allowed = team.used.plus(need).fits(&team.allotment);
         self.set_reserved(&reservation.workers, None);
         if allowed && self.place_gang_quietly(job, &shape, out) {
-            for worker in reservation.workers {
+            for (worker, _) in reservation.workers {
                 self.offer(worker);
             }
             return;
@@ -179,9 +176,10 @@
         placed
     }
 
-    fn set_reserved(&mut self, workers: &[WorkerId], job: Option<JobRef>) {
-        for worker in workers {
-            self.workers[*worker as usize].reserved_for = job;
+    fn set_reserved(&mut self, parts: &[(WorkerId, Resources)], job: Option<JobRef>) {
+        for (worker, part) in parts {
+            let kept = job.map(|job| (job, *part));
+            self.workers[*worker as usize].reserve(kept);
             self.offer_quietly(*worker);
         }
     }
@@ -197,10 +195,10 @@
         }
         reservation.preempted = true;
         for at in 0..reservation.workers.len() {
-            let Some(worker) = self.reservation.as_ref().map(|r| r.workers[at]) else {
+            let Some((worker, part)) = self.reservation.as_ref().map(|r| r.workers[at]) else {
                 return;
             };
-            self.stop_preemptible(worker, out);
+            self.make_room(worker, &part, out);
         }
     }
 
@@ -209,14 +207,9 @@
         if self.reservation.as_ref().is_none_or(|r| r.job != job) {
             return;
         }
-        for worker in self
-            .reservation
-            .take()
-            .map(|r| r.workers)
-            .into_iter()
-            .flatten()
-        {
-            self.workers[worker as usize].reserved_for = None;
+        let parts = self.reservation.take().map(|r| r.workers);
+        for (worker, _) in parts.into_iter().flatten() {
+            self.workers[worker as usize].reserve(None);
             self.offer(worker);
         }
     }
@@ -226,7 +219,7 @@
         let holder = self
             .reservation
             .as_ref()
-            .filter(|r| r.workers.contains(&worker));
+            .filter(|r| r.workers.iter().any(|(w, _)| *w == worker));
         if let Some(job) = holder.map(|r| r.job) {
             self.drop_reservation(job);
         }
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -104,15 +104,8 @@
     }
 
     fn claim(&mut self, worker: WorkerId, job: JobRef, each: &Resources, out: &mut Vec<Decision>) {
-        let mut room = self.workers[worker as usize].free;
-        while !each.fits(&room) {
-            let Some(((_, _, at), _)) = self.next_victim(worker, None) else {
-                break;
-            };
-            room = room.plus(self.workers[worker as usize].tasks[at].each);
-            self.stop_task(worker, at, true, out);
-        }
-        self.workers[worker as usize].reserved_for = Some(job);
+        self.make_room(worker, each, out);
+        self.workers[worker as usize].reserve(Some((job, *each)));
         self.offer(worker);
         self.claims.push(Claim {
             worker,
@@ -140,13 +133,23 @@
         });
     }
 
-    /// Stops every preemptible task of a worker.
-    pub(crate) fn stop_preemptible(&mut self, worker: WorkerId, out: &mut Vec<Decision>) {
-        for at in 0..self.workers[worker as usize].tasks.len() {
-            let task = &self.workers[worker as usize].tasks[at];
-            if !task.stopping && self.is_preemptible(task) {
-                self.stop_task(worker, at, true, out);
-            }
+    /// Stops preemptible tasks of a worker until `part` would fit, counting
+    /// those that are stopping already.
+    pub(crate) fn make_room(
+        &mut self,
+        worker: WorkerId,
+        part: &Resources,
+        out: &mut Vec<Decision>,
+    ) {
+        let entry = &self.workers[worker as usize];
+        let stopping = entry.tasks.iter().filter(|t| t.stopping);
+        let mut room = stopping.fold(entry.free, |room, t| room.plus(t.each));
+        while !part.fits(&room) {
+            let Some(((_, _, at), _)) = self.next_victim(worker, None) else {
+                return;
+            };
+            room = room.plus(self.workers[worker as usize].tasks[at].each);
+            self.stop_task(worker, at, true, out);
         }
     }
 
@@ -156,7 +159,7 @@
         while at < self.claims.len() {
             if self.serve_claim(at, out) {
                 let claim = self.claims.swap_remove(at);
-                self.workers[claim.worker as usize].reserved_for = None;
+                self.workers[claim.worker as usize].reserve(None);
                 self.offer(claim.worker);
             } else {
                 at += 1;
@@ -207,7 +210,7 @@
         while at < self.claims.len() {
             if self.claims[at].job == job {
                 let claim = self.claims.swap_remove(at);
-                self.workers[claim.worker as usize].reserved_for = None;
+                self.workers[claim.worker as usize].reserve(None);
                 self.offer(claim.worker);
             } else {
                 at += 1;
--- a/crates/policy/src/worker.rs
+++ b/crates/policy/src/worker.rs
@@ -44,6 +44,8 @@
     pub(crate) accelerated: bool,
     pub(crate) state: State,
     pub(crate) reserved_for: Option<JobRef>,
+    /// Part kept for `reserved_for`, free already or not.
+    pub(crate) reserved: Resources,
     pub(crate) health: Health,
     pub(crate) tasks: Vec<Task>,
 }
@@ -52,12 +54,18 @@
     /// Resources offered to work without a reservation at `now_ms`.
     pub(crate) fn offered(&self, now_ms: u64) -> Resources {
         match self {
-            w if w.state != State::Open || w.reserved_for.is_some() => Resources::ZERO,
+            w if w.state != State::Open => Resources::ZERO,
             w if !w.health.takes_work(now_ms, w.tasks.len()) => Resources::ZERO,
-            w => w.free,
+            w => w.free.minus(w.reserved),
         }
     }
 
+    /// Keeps a part for a job, or nothing.
+    pub(crate) fn reserve(&mut self, kept: Option<(JobRef, Resources)>) {
+        self.reserved_for = kept.map(|(job, _)| job);
+        self.reserved = kept.map_or(Resources::ZERO, |(_, part)| part);
+    }
+
     /// Recomputes `free` from the running tasks.
     pub(crate) fn recount(&mut self) {
         let used = self
--- a/crates/standin/src/cell/report.rs
+++ b/crates/standin/src/cell/report.rs
@@ -263,8 +263,13 @@
 fn share_error(shared: &Shared) -> Option<f64> {
     let samples = lock(&shared.samples);
     let config = &shared.deployment.config;
-    let teams: Vec<&Name> = shared.deployment.demand.keys().collect();
+    // A team with a limit may be held below its share by it.
+    let free = |t: &&Name| config.teams[*t].limit.is_none();
+    let teams: Vec<&Name> = shared.deployment.demand.keys().filter(free).collect();
     let total: u32 = teams.iter().map(|t| config.teams[*t].share).sum();
+    let workers = shared.deployment.workers();
+    let capacities = workers.iter().map(|(vm, _)| vm.capacity);
+    let capacity = capacities.fold(Resources::ZERO, Resources::plus);
     let mut worst = None;
     for window in samples.windows(SHARE_WINDOW) {
         let contended = window
@@ -274,8 +279,12 @@
             continue;
         }
         let used = |team: &Name| -> f64 {
-            let of = |s: &Sample| s.usage.get(team).map_or(0, |r| r.millicpus);
-            window.iter().map(|s| f64::from(of(s))).sum()
+            let of = |s: &Sample| {
+                s.usage
+                    .get(team)
+                    .map_or(0.0, |r| r.dominant_share(&capacity))
+            };
+            window.iter().map(of).sum()
         };
         let all: f64 = teams.iter().map(|t| used(t)).sum();
         for team in &teams {
--- a/crates/standin/src/schedule.rs
+++ b/crates/standin/src/schedule.rs
@@ -40,7 +40,7 @@
 /// Faults end here.
 pub const HEAL_MS: u64 = 27_000;
 /// The run ends here.
-pub const END_MS: u64 = 120_000;
+pub const END_MS: u64 = 160_000;
 
 /// What went wrong in a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/standin/src/schedule/callers.rs
+++ b/crates/standin/src/schedule/callers.rs
@@ -154,10 +154,10 @@
             number += 1;
             let job = Job {
                 id: Name::from(format!("j{number}")),
-                team: ["free", "tight"][self.rng.usize(..2)],
+                team: ["tight", "free", "free", "free", "free"][self.rng.usize(..5)],
                 tasks: self.rng.u32(1..=4),
                 gang: self.rng.u32(..3) == 0,
-                run_ms: self.rng.u64(200..2_500),
+                run_ms: self.rng.u64(500..12_000),
                 tries: 0,
             };
             self.at(at_ms, Coming::Caller(Box::new(Action::Job(job))));
