--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -254,6 +254,11 @@
         /// Frame.
         frame: Frame,
     },
+    /// A frame that could not be decoded.
+    Malformed {
+        /// Why.
+        detail: Name,
+    },
     /// A frame that surely was not sent.
     Unsent {
         /// Receiver.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -126,6 +126,7 @@
             Event::Ask { caller, ask } => self.ask(caller, ask),
             Event::CallerGone { caller } => self.caller_gone(caller),
             Event::Frame { from, frame } => self.frame(&from, frame),
+            Event::Malformed { detail } => self.log(Notice::FrameMalformed(detail)),
             Event::Unsent { to, frame } => self.unsent(&to, frame),
             Event::Table { id, result } => self.table(id, result),
             Event::Worker { id, result } => self.worker_answered(id, result),
--- a/crates/control/src/notice.rs
+++ b/crates/control/src/notice.rs
@@ -18,6 +18,8 @@
     PeerAlive(Name),
     /// 111
     PeerSilent(Name),
+    /// 112
+    FrameMalformed(Name),
     /// 120
     ConfigInForce(u64),
     /// 121
@@ -70,6 +72,7 @@
             Self::Stopped => 102,
             Self::PeerAlive(_) => 110,
             Self::PeerSilent(_) => 111,
+            Self::FrameMalformed(_) => 112,
             Self::ConfigInForce(_) => 120,
             Self::ConfigMalformed(_) => 121,
             Self::KeysUnverifiable => 122,
@@ -99,6 +102,7 @@
         matches!(
             self,
             Self::PeerSilent(_)
+                | Self::FrameMalformed(_)
                 | Self::ConfigMalformed(_)
                 | Self::KeysUnverifiable
                 | Self::StoreDown
@@ -122,6 +126,7 @@
             Self::Stopped => write!(f, "shutdown complete"),
             Self::PeerAlive(name) => write!(f, "entry VM {name} is heard"),
             Self::PeerSilent(name) => write!(f, "entry VM {name} is silent"),
+            Self::FrameMalformed(e) => write!(f, "dropped a frame: {e}"),
             Self::ConfigInForce(v) => write!(f, "configuration version {v} is in force"),
             Self::ConfigMalformed(v) => write!(f, "configuration version {v} is malformed"),
             Self::KeysUnverifiable => write!(f, "keys can't be verified"),
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -127,11 +127,14 @@
             let Ok(Ok(bytes)) = read else {
                 return;
             };
-            match wire::decode(&bytes) {
-                // The loop has ended when the channel is closed.
-                Ok((from, frame)) => drop(events.send(Event::Frame { from, frame }).await),
-                Err(error) => log::warn!("112 malformed frame: {error}"),
-            }
+            let event = match wire::decode(&bytes) {
+                Ok((from, frame)) => Event::Frame { from, frame },
+                Err(error) => Event::Malformed {
+                    detail: compact_str::format_compact!("{error}"),
+                },
+            };
+            // The loop has ended when the channel is closed.
+            drop(events.send(event).await);
         });
     }
 }
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -9,7 +9,7 @@
 use crate::health::Health;
 use crate::learn::Estimates;
 use crate::preempt::Claim;
-use crate::queue::{Job, JobRef, Outcome, Queues, Shape, TeamId};
+use crate::queue::{Job, JobRef, Outcome, Queues, Shape, Slot, TeamId};
 use crate::tree::Tree;
 use crate::worker::{State, Task, Worker, WorkerId};
 
@@ -19,6 +19,8 @@
 const MAX_ATTEMPTS: Attempt = 12;
 /// Time constant of decayed usage in ms.
 const USAGE_DECAY_MS: f64 = 30_000.0;
+/// Period in ms at which blocked gangs and urgent work are tried again.
+const RETRY_MS: u64 = 100;
 /// Tasks for which a worker keeps room without allocating.
 const TASKS_PER_WORKER: usize = 32;
 
@@ -117,6 +119,7 @@
     pub(crate) scratch: Vec<WorkerId>,
     pub(crate) held: Vec<WorkerId>,
     pub(crate) sample_from: usize,
+    next_retry_ms: u64,
     failed: Vec<JobRef>,
     retired: Vec<JobRef>,
 }
@@ -142,6 +145,7 @@
             scratch: Vec::new(),
             held: Vec::new(),
             sample_from: 0,
+            next_retry_ms: 0,
             failed: Vec::new(),
             retired: Vec::new(),
         }
@@ -530,6 +534,7 @@
         self.advance(now_ms);
         self.give_up_broken(out);
         self.release_held();
+        self.retry_blocked();
         self.serve_claims(out);
         self.serve_reservation(out);
         let stop_at = out.len() + max;
@@ -542,6 +547,19 @@
         }
     }
 
+    /// Lets gangs and urgent work be tried again now and then: what helps them
+    /// is not only room, but also time to reserve and tasks to stop.
+    fn retry_blocked(&mut self) {
+        if self.now_ms < self.next_retry_ms {
+            return;
+        }
+        self.next_retry_ms = self.now_ms + RETRY_MS;
+        let special = |slot: &&mut Slot| slot.shape.work == Work::Gang || slot.shape.urgent;
+        for slot in self.queues.shapes.iter_mut().filter(special) {
+            slot.blocked = false;
+        }
+    }
+
     /// Offers workers again whose time of being held back is over.
     fn release_held(&mut self) {
         let mut at = 0;
--- /dev/null
+++ b/crates/policy/tests/engine.rs
@@ -0,0 +1,309 @@
+//! Decisions of the engine in single situations.
+
+use model::{Order, Resources, Work};
+use policy::{Decision, Engine, JobRef, Outcome, Request, Settings, TeamId};
+
+const CORE: Resources = Resources::of(1_000, 1_000, 0, 0);
+
+fn engine(workers: u32, cores: u32) -> (Engine, TeamId, TeamId) {
+    let mut engine = Engine::new(Settings {
+        order: Order::DominantShare,
+        reserve_after_ms: 1_000,
+        preempt: true,
+    });
+    let teams = [engine.add_team(1), engine.add_team(1)];
+    for team in teams {
+        engine.set_team(team, 1, Resources::UNLIMITED);
+    }
+    for at in 0..workers {
+        engine.add_worker(CORE.times(cores), at as u16 / 4);
+    }
+    (engine, teams[0], teams[1])
+}
+
+fn request(team: TeamId, work: Work, tasks: u32, cores: u32) -> Request {
+    Request {
+        team,
+        work,
+        urgent: false,
+        each: CORE.times(cores),
+        tasks,
+        class: 0,
+        first_attempt: 0,
+    }
+}
+
+fn place(engine: &mut Engine, now_ms: u64) -> Vec<Decision> {
+    let mut out = Vec::new();
+    engine.place(now_ms, 10_000, &mut out);
+    assert_eq!(engine.verify(), Ok(()));
+    out
+}
+
+/// Ends all started tasks of `decisions` with one outcome.
+fn end_all(engine: &mut Engine, decisions: &[Decision], outcome: Outcome, now_ms: u64) {
+    for decision in decisions {
+        if let Decision::Start {
+            job,
+            task,
+            attempt,
+            worker,
+            ..
+        } = *decision
+        {
+            engine.ended(worker, job, task, attempt, outcome, now_ms);
+        }
+    }
+}
+
+fn starts_of(decisions: &[Decision], wanted: JobRef) -> usize {
+    let is = |d: &&Decision| matches!(d, Decision::Start { job, .. } if *job == wanted);
+    decisions.iter().filter(is).count()
+}
+
+#[test]
+fn an_index_is_not_reused_before_it_is_collected() {
+    let (mut engine, team, _) = engine(1, 4);
+    let first = engine.submit(&request(team, Work::Batch, 1, 1), &[], 1);
+    let started = place(&mut engine, 1);
+    end_all(&mut engine, &started, Outcome::Completed, 2);
+    engine.cancel(first, &mut Vec::new());
+
+    let second = engine.submit(&request(team, Work::Batch, 1, 1), &[], 3);
+    engine.collect_retired(&mut Vec::new());
+    let third = engine.submit(&request(team, Work::Batch, 1, 1), &[], 4);
+
+    assert_ne!(second, first);
+    assert_eq!(third, first);
+}
+
+#[test]
+fn urgent_work_stops_the_team_furthest_above_its_share() {
+    let (mut engine, big, small) = engine(4, 4);
+    engine.submit(&request(small, Work::Batch, 3, 1), &[], 1);
+    let mine = engine.submit(&request(big, Work::Batch, 20, 1), &[], 1);
+    place(&mut engine, 1);
+    let mut urgent = request(small, Work::Batch, 1, 1);
+    urgent.urgent = true;
+    let job = engine.submit(&urgent, &[], 100);
+
+    let stops = place(&mut engine, 100);
+    let [
+        Decision::Stop {
+            job: victim,
+            task,
+            attempt,
+            worker,
+            checkpoint,
+        },
+    ] = stops[..]
+    else {
+        panic!("one task is stopped: {stops:?}");
+    };
+    engine.ended(worker, victim, task, attempt, Outcome::Interrupted, 400);
+    let starts = place(&mut engine, 400);
+
+    assert_eq!((victim, checkpoint), (mine, true));
+    assert_eq!(starts_of(&starts, job), 1);
+}
+
+#[test]
+fn a_task_that_will_not_checkpoint_is_stopped_hard() {
+    let (mut engine, big, small) = engine(1, 1);
+    engine.submit(&request(big, Work::Batch, 1, 1), &[], 1);
+    place(&mut engine, 1);
+    let mut urgent = request(small, Work::Batch, 1, 1);
+    urgent.urgent = true;
+    engine.submit(&urgent, &[], 100);
+    place(&mut engine, 100);
+
+    let later = place(&mut engine, 1_200);
+
+    assert!(
+        matches!(
+            later[..],
+            [Decision::Stop {
+                checkpoint: false,
+                ..
+            }]
+        ),
+        "{later:?}"
+    );
+}
+
+#[test]
+fn a_job_pays_for_urgent_work_at_most_three_times() {
+    let (mut engine, big, small) = engine(1, 1);
+    engine.submit(&request(big, Work::Batch, 1, 1), &[], 1);
+    let mut paid = 0;
+    for round in 0..6_u64 {
+        let now_ms = 1_000 * (round + 1);
+        let mut running = place(&mut engine, now_ms);
+        let mut urgent = request(small, Work::Batch, 1, 1);
+        urgent.urgent = true;
+        engine.submit(&urgent, &[], now_ms + 1);
+        for decision in place(&mut engine, now_ms + 1) {
+            let Decision::Stop {
+                job,
+                task,
+                attempt,
+                worker,
+                ..
+            } = decision
+            else {
+                continue;
+            };
+            paid += 1;
+            engine.ended(worker, job, task, attempt, Outcome::Interrupted, now_ms + 2);
+            running = place(&mut engine, now_ms + 2);
+        }
+        end_all(&mut engine, &running, Outcome::Completed, now_ms + 3);
+        let rest = place(&mut engine, now_ms + 4);
+        if round < 5 && paid < 3 {
+            // The stopped task runs again and is the next victim.
+            assert_eq!(rest.len(), 1);
+        }
+        engine.submit(&request(big, Work::Batch, 0, 1), &[], now_ms + 5);
+    }
+    assert!(paid <= 3, "{paid}");
+}
+
+#[test]
+fn a_gang_is_not_starved_by_small_tasks_with_wrong_run_times() {
+    let (mut engine, team, other) = engine(4, 4);
+    let mut running: Vec<(u64, Decision)> = Vec::new();
+    let mut gang = None;
+    let mut started_ms = None;
+    for now_ms in (0..60_000).step_by(100) {
+        engine.submit(&request(other, Work::Batch, 2, 1), &[], now_ms);
+        if now_ms == 5_000 {
+            gang = Some(engine.submit(&request(team, Work::Gang, 4, 3), &[], now_ms));
+        }
+        let due: Vec<Decision> = running
+            .extract_if(.., |(at, _)| *at <= now_ms)
+            .map(|r| r.1)
+            .collect();
+        end_all(&mut engine, &due, Outcome::Completed, now_ms);
+        let decisions = place(&mut engine, now_ms);
+        for decision in decisions {
+            match decision {
+                Decision::Start { job, .. } if Some(job) == gang => {
+                    started_ms = started_ms.or(Some(now_ms))
+                }
+                Decision::Start { .. } => running.push((now_ms + 3_000, decision)),
+                Decision::Stop {
+                    job,
+                    task,
+                    attempt,
+                    worker,
+                    ..
+                } => {
+                    running.retain(|(_, d)| !matches!(d, Decision::Start { job: j, task: t, .. } if (*j, *t) == (job, task)));
+                    engine.ended(worker, job, task, attempt, Outcome::Interrupted, now_ms);
+                }
+                Decision::Fail { .. } => panic!("no job fails here"),
+            }
+        }
+    }
+    let waited = started_ms.expect("the gang starts") - 5_000;
+    assert!(waited <= 10_000, "{waited} ms");
+}
+
+#[test]
+fn a_worker_that_fails_everything_is_held_back() {
+    let (mut engine, team, _) = engine(4, 4);
+    let mut on_bad = 0;
+    for round in 0..40_u64 {
+        let now_ms = 100 * (round + 1);
+        engine.submit(&request(team, Work::Batch, 4, 1), &[], now_ms);
+        for decision in place(&mut engine, now_ms) {
+            let Decision::Start {
+                job,
+                task,
+                attempt,
+                worker,
+                ..
+            } = decision
+            else {
+                continue;
+            };
+            on_bad += u32::from(worker == 0);
+            let outcome = if worker == 0 {
+                Outcome::Failed
+            } else {
+                Outcome::Completed
+            };
+            engine.ended(worker, job, task, attempt, outcome, now_ms + 1);
+        }
+    }
+    assert!(on_bad <= 12, "{on_bad} tasks went to the bad worker");
+}
+
+#[test]
+fn a_broken_job_is_given_up_and_blames_no_worker() {
+    let (mut engine, team, other) = engine(6, 2);
+    let broken = engine.submit(&request(team, Work::Batch, 8, 1), &[], 1);
+    let mut failed = false;
+    for round in 0..200_u64 {
+        let now_ms = 500 * (round + 1);
+        let decisions = place(&mut engine, now_ms);
+        failed |= decisions.contains(&Decision::Fail { job: broken });
+        end_all(&mut engine, &decisions, Outcome::Failed, now_ms + 1);
+    }
+    assert!(failed, "the job is given up");
+
+    let good = engine.submit(&request(other, Work::Batch, 12, 1), &[], 200_000);
+    let decisions = place(&mut engine, 200_000);
+
+    assert_eq!(starts_of(&decisions, good), 12, "all workers take work");
+}
+
+#[test]
+fn a_cancelled_half_frees_its_room_at_once() {
+    let (mut engine, team, _) = engine(2, 4);
+    let jobs: Vec<JobRef> = (0..2_000)
+        .map(|_| engine.submit(&request(team, Work::Batch, 1, 1), &[], 1))
+        .collect();
+    place(&mut engine, 1);
+    let mut stops = Vec::new();
+    for job in jobs.iter().step_by(2) {
+        engine.cancel(*job, &mut stops);
+    }
+    assert_eq!(engine.verify(), Ok(()));
+    assert_eq!(
+        stops.len(),
+        4,
+        "half of the eight running tasks are stopped"
+    );
+    for stop in stops {
+        if let Decision::Stop {
+            job,
+            task,
+            attempt,
+            worker,
+            ..
+        } = stop
+        {
+            engine.ended(worker, job, task, attempt, Outcome::Interrupted, 2);
+        }
+    }
+    assert_eq!(place(&mut engine, 2).len(), 4);
+    assert_eq!(engine.waiting_tasks(), 1_000 - 8);
+}
+
+#[test]
+fn accelerators_are_left_to_work_that_needs_them() {
+    let (mut engine, team, _) = engine(2, 2);
+    let accelerated = engine.add_worker(Resources::of(8_000, 8_000, 2, 0), 9);
+    engine.submit(&request(team, Work::Batch, 4, 1), &[], 1);
+    let plain = place(&mut engine, 1);
+    let on_accelerated =
+        |d: &Decision| matches!(d, Decision::Start { worker, .. } if *worker == accelerated);
+    assert!(!plain.iter().any(on_accelerated));
+
+    engine.submit(&request(team, Work::Batch, 1, 1), &[], 2);
+    assert!(
+        place(&mut engine, 2).iter().any(on_accelerated),
+        "nothing else is left"
+    );
+}
--- a/crates/standin/src/schedule.rs
+++ b/crates/standin/src/schedule.rs
@@ -241,6 +241,12 @@
         schedule
     }
 
+    /// The VM list of the schedule.
+    #[must_use]
+    pub fn listing(&self) -> Listing {
+        self.listing.clone()
+    }
+
     /// Starts a new process on entry VM `at`.
     pub(crate) fn boot(&mut self, at: usize) {
         let settings = Settings {
