Hand a data centre over within a second of a planned stop

Change: a draining owner starts no watch; workers are claimed after the jobs are read; a job that becomes known takes over its running tasks.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -108,6 +108,11 @@
         self.life == Life::Live && !self.leaving && vouched
     }
 
+    /// True while an order waits or its answer is awaited.
+    pub(crate) fn is_engaged(&self) -> bool {
+        self.busy || (self.has_orders() && self.misses == 0)
+    }
+
     fn has_orders(&self) -> bool {
         !self.starts.is_empty() || !self.stops.is_empty() || !self.acks.is_empty()
     }
@@ -158,6 +163,8 @@
 
     fn kind_of_call(&self, at: usize) -> Option<Kind> {
         let acting = match self.owner.tenure {
+            // What runs can be told from a report only once the jobs are known.
+            Tenure::Claiming { .. } if !self.owner.jobs.loaded => return None,
             Tenure::Claiming { .. } => true,
             Tenure::Active => self.may_act(),
             Tenure::Surveying { .. } => false,
@@ -168,7 +175,7 @@
             w if w.life == Life::Gone => None,
             w if !acting || w.misses >= MAX_MISSES => (!w.busy).then_some(Kind::Survey),
             w if !w.busy && (w.has_orders() || !w.claimed) => Some(Kind::Order),
-            w if !w.busy && !w.watched => Some(Kind::Watch),
+            w if !w.busy && !w.watched && !self.refuses_work() => Some(Kind::Watch),
             _ => None,
         }
     }
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -46,13 +46,32 @@
     ended_at: Option<Duration>,
 }
 
+/// A running task of a job that is not known or has ended.
+#[derive(Debug)]
+struct Stray {
+    /// Index of the worker.
+    at: usize,
+    running: Running,
+    /// The engine's job that accounts for its room.
+    engine: JobRef,
+}
+
+impl Stray {
+    fn is(&self, at: usize, running: &Running) -> bool {
+        self.at == at
+            && self.running.job == running.job
+            && self.running.task == running.task
+            && self.running.attempt == running.attempt
+    }
+}
+
 /// All jobs of the data centre.
 #[derive(Debug, Default)]
 pub(crate) struct Jobs {
     entries: BTreeMap<JobId, Entry>,
     by_ref: Vec<Option<JobId>>,
     classes: BTreeMap<Name, u32>,
-    strays: Vec<(usize, JobId, TaskIndex, Attempt, JobRef)>,
+    strays: Vec<Stray>,
     pub(crate) decisions: Vec<Decision>,
     retired: Vec<JobRef>,
     pub(crate) loaded: bool,
@@ -94,14 +113,12 @@
     }
 
     pub(crate) fn is_stray(&self, at: usize, running: &Running) -> bool {
-        self.strays.iter().any(|s| {
-            s.0 == at && s.1 == running.job && s.2 == running.task && s.3 == running.attempt
-        })
+        self.strays.iter().any(|s| s.is(at, running))
     }
 
     /// Forgets tasks of unknown jobs on a lost worker.
     pub(crate) fn drop_strays(&mut self, at: usize) {
-        self.strays.retain(|s| s.0 != at);
+        self.strays.retain(|s| s.at != at);
     }
 }
 
@@ -185,6 +202,7 @@
         if from_before && self.owner.uncertain_until.is_some() {
             self.owner.engine.withhold(engine);
         }
+        self.adopt_strays(&job.id, engine);
         engine
     }
 
@@ -218,10 +236,11 @@
             .engine
             .adopt(job, 0, running.attempt, worker, running.each);
         let (name, task, attempt) = (running.job.clone(), running.task, running.attempt);
-        self.owner
-            .jobs
-            .strays
-            .push((at, name.clone(), task, attempt, job));
+        self.owner.jobs.strays.push(Stray {
+            at,
+            running: running.clone(),
+            engine: job,
+        });
         self.owner.engine.cancel(job, &mut Vec::new());
         self.order_stop(
             worker,
@@ -236,21 +255,42 @@
 
     /// Frees the room of stray tasks that a worker no longer runs.
     pub(crate) fn forget_strays(&mut self, at: usize, report: &Report) {
-        let worker = self.owner.workers[at].id;
-        let now_ms = self.now.as_millis() as u64;
-        let gone = |s: &(usize, JobId, TaskIndex, Attempt, JobRef)| {
-            let runs = |r: &Running| r.job == s.1 && r.task == s.2 && r.attempt == s.3;
-            s.0 == at && !report.running.iter().any(runs)
-        };
+        let gone = |s: &Stray| s.at == at && !report.running.iter().any(|r| s.is(at, r));
         let strays = std::mem::take(&mut self.owner.jobs.strays);
-        let (ended, kept) = strays.into_iter().partition(gone);
+        let (ended, kept): (Vec<Stray>, Vec<Stray>) = strays.into_iter().partition(gone);
         self.owner.jobs.strays = kept;
-        let ended: Vec<(usize, JobId, TaskIndex, Attempt, JobRef)> = ended;
-        for (_, _, _, attempt, job) in ended {
-            let outcome = policy::Outcome::Interrupted;
-            self.owner
-                .engine
-                .ended(worker, job, 0, attempt, outcome, now_ms);
+        for stray in ended {
+            self.release_stray(&stray);
+        }
+    }
+
+    fn release_stray(&mut self, stray: &Stray) {
+        let worker = self.owner.workers[stray.at].id;
+        let now_ms = self.now.as_millis() as u64;
+        let (attempt, outcome) = (stray.running.attempt, policy::Outcome::Interrupted);
+        let engine = &mut self.owner.engine;
+        engine.ended(worker, stray.engine, 0, attempt, outcome, now_ms);
+    }
+
+    /// Gives a job that has just become known its tasks that run already. They
+    /// are being stopped and are queued again when they have ended.
+    fn adopt_strays(&mut self, id: &JobId, job: JobRef) {
+        let strays = std::mem::take(&mut self.owner.jobs.strays);
+        for stray in strays {
+            let Running {
+                task,
+                attempt,
+                each,
+                ..
+            } = stray.running;
+            let mine = stray.running.job == *id && self.owner.engine.is_waiting(job, task);
+            if !mine {
+                self.owner.jobs.strays.push(stray);
+                continue;
+            }
+            self.release_stray(&stray);
+            let worker = self.owner.workers[stray.at].id;
+            self.owner.engine.adopt(job, task, attempt, worker, each);
         }
     }
 
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -466,7 +466,8 @@
                 return;
             }
         }
-        if !self.owner.contacts.is_empty() || !self.owner.jobs.is_saved() {
+        let engaged = self.owner.workers.iter().any(Backend::is_engaged);
+        if engaged || !self.owner.jobs.is_saved() {
             return;
         }
         self.owner.tenure = Tenure::Releasing;
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -342,6 +342,13 @@
         self.queues.jobs[job as usize].withheld.contains(&task)
     }
 
+    /// True when a task waits or is withheld.
+    #[must_use]
+    pub fn is_waiting(&self, job: JobRef, task: TaskIndex) -> bool {
+        let entry = &self.queues.jobs[job as usize];
+        entry.pending.iter().any(|(index, _)| *index == task) || entry.withheld.contains(&task)
+    }
+
     /// Queues all withheld tasks again.
     pub fn release_withheld(&mut self) {
         for job in 0..self.queues.jobs.len() {
--- a/crates/standin/src/schedule/callers.rs
+++ b/crates/standin/src/schedule/callers.rs
@@ -79,10 +79,13 @@
     withdrawn_ms: Option<u64>,
     /// Log of the nodes, for the reader of a failing run.
     pub lines: Vec<String>,
+    /// Time in ms, entry VM and number of each log event.
+    pub events: Vec<(u64, usize, u16)>,
 }
 
 impl Callers {
     pub(crate) fn log(&mut self, now_ms: u64, at: usize, notice: &control::Notice) {
+        self.events.push((now_ms, at, notice.number()));
         if self.lines.len() < MAX_LOG {
             self.lines
                 .push(format!("{now_ms} e{at} {} {notice}", notice.number()));
--- a/crates/standin/tests/promises.rs
+++ b/crates/standin/tests/promises.rs
@@ -84,6 +84,34 @@
     check(&pairs);
 }
 
+#[test]
+fn planned_stop_hands_over_within_a_second() {
+    for seed in SEEDS {
+        let mut schedule = Schedule::new(seed, &[Fault::PlannedStop]);
+
+        schedule.run().expect("no promise is broken");
+
+        let events = &schedule.callers.events;
+        let first = |number: u16, from_ms: u64| {
+            let mut later = events.iter().filter(|e| e.0 >= from_ms);
+            later.find(|e| e.2 == number).map(|e| e.0)
+        };
+        let asked_ms = first(101, 0).expect("the stop begins");
+        let released_ms = first(143, asked_ms).expect("ownership is released");
+        let owned_ms = first(141, released_ms).expect("another VM takes over");
+        assert!(
+            owned_ms - released_ms <= 1_000,
+            "gap of {} ms",
+            owned_ms - released_ms
+        );
+        assert!(
+            released_ms - asked_ms <= 10_000,
+            "{} ms",
+            released_ms - asked_ms
+        );
+    }
+}
+
 /// The combination in `SCHEDULE_FAULTS` as indexes into the table, with the
 /// seed first; for looking at one run.
 #[test]
