Notice silent connections by missing acknowledgements

Change: a frame without acknowledgement in 500 ms is sent once more over a new connection and repeated frames are dropped by id; a lost exchange closes the idle connections to its address; requests that run once use a new connection; what reaches a daemon after its loop has ended is refused, not unknown.

--- a/crates/control/src/dispatch.rs
+++ b/crates/control/src/dispatch.rs
@@ -16,6 +16,8 @@
 use crate::event::{Effect, Execute, ExecuteFault, Measure, Whole};
 use crate::node::Node;
 
+/// Time in which a frame may be repeated.
+const REPEAT_TIME: Duration = Duration::from_secs(60);
 /// Runs tried for one request before it is refused.
 const MAX_RUNS: u32 = 3;
 /// Time for which a failing executor is avoided.
@@ -24,8 +26,9 @@
 const FIRST_RUN_MS: f64 = 50.0;
 /// Time after which a run has ended even if its answer never came.
 const MAX_RUN: Duration = Duration::from_secs(30);
-/// Means of a run after which an idempotent request is sent once more.
-const HEDGE_MEANS: f64 = 6.0;
+/// Mean deviations beyond the mean after which an idempotent request is sent
+/// once more.
+const HEDGE_DEVIATIONS: f64 = 6.0;
 /// Shortest time before a request is sent once more.
 const MIN_HEDGE: Duration = Duration::from_millis(500);
 /// Means of a run that must be left to the deadline for a request to be sent.
@@ -92,6 +95,7 @@
     lines: BTreeMap<Name, Line>,
     virtual_time: f64,
     mean_ms: f64,
+    deviation_ms: f64,
     waiting: u32,
 }
 
@@ -101,11 +105,27 @@
             lines: BTreeMap::new(),
             virtual_time: 0.0,
             mean_ms: FIRST_RUN_MS,
+            deviation_ms: FIRST_RUN_MS,
             waiting: 0,
         }
     }
 }
 
+impl Service {
+    /// Mean and deviation as in Jacobson, "Congestion Avoidance", 1988.
+    fn learn(&mut self, ran_ms: f64) {
+        let error = ran_ms - self.mean_ms;
+        self.mean_ms += GAIN * error;
+        self.deviation_ms += GAIN * (error.abs() - self.deviation_ms);
+    }
+
+    /// Time after which a run is slower than nearly all others.
+    fn slow_after(&self) -> Duration {
+        let slow_ms = self.mean_ms + HEDGE_DEVIATIONS * self.deviation_ms;
+        Duration::from_secs_f64(slow_ms / 1_000.0).max(MIN_HEDGE)
+    }
+}
+
 /// Requests of one data centre.
 #[derive(Debug, Default)]
 pub(crate) struct Dispatcher {
@@ -115,9 +135,16 @@
     held: BTreeMap<Name, u32>,
     ghosts: BTreeSet<(Duration, u64, usize, Name)>,
     next_run: u64,
+    /// Requests taken in lately, by id, until a time.
+    seen: BTreeMap<u64, Duration>,
 }
 
 impl Dispatcher {
+    /// Notes a request id; false when it was noted already.
+    fn is_new(&mut self, id: u64, until: Duration) -> bool {
+        self.seen.insert(id, until).is_none()
+    }
+
     pub(crate) fn is_idle(&self) -> bool {
         self.runs.is_empty() && self.services.values().all(|s| s.waiting == 0)
     }
@@ -219,6 +246,10 @@
 
     /// Queues a request of a gateway, or refuses it.
     pub(crate) fn serve_from(&mut self, origin: &Name, serve: Serve) {
+        let until = self.now + REPEAT_TIME;
+        if !self.dispatcher.is_new(serve.id, until) {
+            return; // A repeated frame.
+        }
         if let Some(refusal) = self.refuse_serve(&serve) {
             return self.answer_origin(origin, serve.id, Answer::Refused(refusal));
         }
@@ -351,6 +382,7 @@
             queue: waiting.serve.queue.clone(),
             body: waiting.serve.body.clone(),
             timeout: MAX_RUN,
+            fresh: waiting.serve.once || waiting.may_have_run,
         })));
         self.dispatcher.runs.insert(
             id,
@@ -408,7 +440,7 @@
         let Some(service) = service else {
             return;
         };
-        service.mean_ms += GAIN * (ran_ms - service.mean_ms);
+        service.learn(ran_ms);
         if let Some(line) = service.lines.get_mut(team) {
             line.virtual_time += (ran_ms - run.charged) / share;
         }
@@ -458,12 +490,8 @@
         let mut again = Vec::new();
         for run in self.dispatcher.runs.values_mut() {
             let waiting = &run.waiting;
-            let mean_ms = self
-                .dispatcher
-                .services
-                .get(&waiting.serve.service)
-                .map_or(FIRST_RUN_MS, |s| s.mean_ms);
-            let usual = Duration::from_secs_f64(mean_ms * HEDGE_MEANS / 1_000.0).max(MIN_HEDGE);
+            let service = self.dispatcher.services.get(&waiting.serve.service);
+            let usual = service.map_or(MIN_HEDGE, Service::slow_after);
             let slow = run.started + usual <= self.now && self.now < waiting.deadline;
             if slow && !run.hedged && !waiting.serve.once && self.gateway.spend_retry() {
                 run.hedged = true;
@@ -482,6 +510,7 @@
     /// and frees slots of runs that must have ended.
     pub(crate) fn tick_dispatcher(&mut self) {
         let now = self.now;
+        self.dispatcher.seen.retain(|_, until| *until > now);
         self.hedge();
         let mut late: Vec<Waiting> = Vec::new();
         for service in self.dispatcher.services.values_mut() {
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -208,6 +208,8 @@
     pub body: Bytes,
     /// Time allowed.
     pub timeout: Duration,
+    /// True to use a new connection: the idle ones may have gone silent.
+    pub fresh: bool,
 }
 
 /// A whole answer of an executor.
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -33,7 +33,7 @@
 /// Retries earned by each request.
 const RETRY_EARNED: f64 = 0.1;
 /// Most retries saved up.
-const RETRY_BURST: f64 = 20.0;
+const RETRY_BURST: f64 = 100.0;
 /// Largest body kept with an outcome.
 const MAX_KEPT_BODY: usize = 8 * 1024;
 /// Time for which an outcome may wait for the store.
--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -56,6 +56,28 @@
         address: &Name,
         request: Request<Full<Bytes>>,
         limit: Duration,
+    ) -> Result<Response<Bytes>, Failure> {
+        let outcome = self.try_exchange(address, request, limit).await;
+        if matches!(outcome, Err(Failure::Lost)) {
+            // What silenced this connection may have silenced the others.
+            self.forget(address);
+        }
+        outcome
+    }
+
+    /// Closes the idle connections to `address`, so that the next exchange
+    /// makes a new one.
+    pub fn forget(&self, address: &Name) {
+        if let Ok(mut idle) = self.idle.lock() {
+            idle.remove(address);
+        }
+    }
+
+    async fn try_exchange(
+        &self,
+        address: &Name,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
     ) -> Result<Response<Bytes>, Failure> {
         let deadline = Instant::now() + limit;
         let mut sender = self.sender(address, limit).await?;
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -15,10 +15,12 @@
 use control::Event;
 use model::Name;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig};
+use quinn::{
+    ClientConfig, Connection, Endpoint, IdleTimeout, SendStream, ServerConfig, TransportConfig,
+};
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
-use tokio::sync::mpsc::{Receiver, Sender};
+use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::timeout;
 use wire::Frame;
 
@@ -32,6 +34,12 @@
 const DIAL_TIME: Duration = Duration::from_millis(1_000);
 /// Time allowed for one frame.
 const FRAME_TIME: Duration = Duration::from_millis(2_000);
+/// Time in which a peer acknowledges a frame.
+const ACK_TIME: Duration = Duration::from_millis(500);
+/// Times that a frame is repeated.
+const MAX_REPEATS: u32 = 1;
+/// Frames without acknowledgement that may wait to be repeated.
+const MAX_LATE: usize = 2_048;
 /// Pause after a failed dial.
 const DIAL_PAUSE: Duration = Duration::from_millis(200);
 /// Streams that a peer may have open at once.
@@ -139,7 +147,17 @@
     }
 }
 
-/// Sends frames to one peer until the channel closes.
+/// A frame on its way to one peer.
+struct Parcel {
+    frame: Frame,
+    /// Number of the connection that it was last written to.
+    connection: u64,
+    tries: u32,
+}
+
+/// Sends frames to one peer until the channel closes. A frame that is not
+/// acknowledged in time is sent once more over a new connection; the receiver
+/// drops what it has got already.
 pub(crate) async fn dial(
     keys: Keys,
     me: Name,
@@ -149,24 +167,38 @@
     events: Sender<Event>,
 ) {
     let mut connection: Option<Connection> = None;
-    while let Some(frame) = frames.recv().await {
+    let mut number = 0;
+    let (late, mut unacknowledged) = channel::<Parcel>(MAX_LATE);
+    loop {
+        let mut parcel = tokio::select! {
+            Some(parcel) = unacknowledged.recv() => parcel,
+            frame = frames.recv() => match frame {
+                Some(frame) => Parcel { frame, connection: 0, tries: 0 },
+                None => return,
+            },
+        };
+        if let Some(open) = connection.take_if(|_| parcel.connection == number && number > 0) {
+            open.close(quinn::VarInt::from_u32(0), b"silent");
+        }
         if connection
             .as_ref()
             .is_none_or(|c| c.close_reason().is_some())
         {
             connection = connect(&keys, address).await;
+            number += 1;
         }
         let Some(open) = &connection else {
-            unsent(&peer, frame, &events).await;
+            give_up(&peer, parcel, &events).await;
             while let Ok(frame) = frames.try_recv() {
                 unsent(&peer, frame, &events).await;
             }
             tokio::time::sleep(DIAL_PAUSE).await;
             continue;
         };
-        match timeout(FRAME_TIME, send(open, &me, &frame)).await {
-            Ok(Ok(())) => {}
-            Ok(Err(Unsent::Nothing)) => unsent(&peer, frame, &events).await,
+        parcel.connection = number;
+        match timeout(FRAME_TIME, write(open, &me, &parcel.frame)).await {
+            Ok(Ok(stream)) => drop(tokio::spawn(await_ack(stream, parcel, late.clone()))),
+            Ok(Err(Unsent::Nothing)) => give_up(&peer, parcel, &events).await,
             Ok(Err(Unsent::Maybe)) | Err(_) => {
                 open.close(quinn::VarInt::from_u32(0), b"");
                 connection = None;
@@ -180,11 +212,30 @@
     Maybe,
 }
 
-async fn send(connection: &Connection, me: &Name, frame: &Frame) -> Result<(), Unsent> {
+async fn write(connection: &Connection, me: &Name, frame: &Frame) -> Result<SendStream, Unsent> {
     let bytes = wire::encode(me, frame).map_err(|_| Unsent::Nothing)?;
     let mut stream = connection.open_uni().await.map_err(|_| Unsent::Nothing)?;
     stream.write_all(&bytes).await.map_err(|_| Unsent::Maybe)?;
-    stream.finish().map_err(|_| Unsent::Maybe)
+    stream.finish().map_err(|_| Unsent::Maybe)?;
+    Ok(stream)
+}
+
+/// Hands a frame back that the peer has not acknowledged in time.
+async fn await_ack(stream: SendStream, mut parcel: Parcel, late: Sender<Parcel>) {
+    let acknowledged = timeout(ACK_TIME, stream.stopped()).await;
+    if matches!(acknowledged, Ok(Ok(_))) || parcel.tries >= MAX_REPEATS {
+        return;
+    }
+    parcel.tries += 1;
+    // With a full channel the frame stays lost; its request has a deadline.
+    drop(late.try_send(parcel));
+}
+
+/// Reports a frame as unsent, unless an earlier try may have arrived.
+async fn give_up(peer: &Name, parcel: Parcel, events: &Sender<Event>) {
+    if parcel.tries == 0 {
+        unsent(peer, parcel.frame, events).await;
+    }
 }
 
 async fn unsent(peer: &Name, frame: Frame, events: &Sender<Event>) {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -19,6 +19,8 @@
 use crate::settings::Tls;
 use crate::shell::Input;
 
+/// Time in which answers under way are written out.
+const LINGER: Duration = Duration::from_millis(500);
 /// Time that open connections get to end when the server stops.
 const STOP_TIME: Duration = Duration::from_secs(2);
 
@@ -30,11 +32,14 @@
 }
 
 impl App {
-    /// Asks the loop and waits for the answer.
+    /// Asks the loop and waits for the answer; `None` when the loop ended with
+    /// the question in hand.
     pub(crate) async fn ask(&self, ask: Ask) -> Option<Reply> {
         let (sender, receiver) = oneshot::channel();
-        self.inputs.send(Input::Ask(ask, sender)).await.ok()?;
-        receiver.await.ok()
+        match self.inputs.send(Input::Ask(ask, sender)).await {
+            Ok(()) => receiver.await.ok(),
+            Err(_) => Some(crate::shell::shutting_down()),
+        }
     }
 
     /// Quantiles of the loop's histograms.
@@ -77,7 +82,7 @@
         for handle in &self.handles {
             handle.stop_graceful(STOP_TIME);
         }
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        tokio::time::sleep(LINGER).await;
     }
 }
 
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use control::{CallerId, Effect, Event, Node, Reply};
-use model::Name;
+use model::{Name, Reason, Refusal};
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -43,6 +43,12 @@
     Shutdown,
 }
 
+/// The answer to what comes after the loop has ended.
+pub(crate) fn shutting_down() -> Reply {
+    let wait = Duration::from_secs(1);
+    Reply::Refused(Refusal::after(Reason::ShuttingDown, wait))
+}
+
 /// The loop's state.
 pub(crate) struct Shell<P, W, X> {
     node: Node,
@@ -122,6 +128,14 @@
                 Some(input) = inputs.recv() => self.input(input, &mut effects),
             }
         }
+        // What the reducer has not seen was not run.
+        inputs.close();
+        while let Some(input) = inputs.recv().await {
+            if let Input::Ask(_, answer) = input {
+                // A caller that no longer waits needs no answer.
+                drop(answer.send(shutting_down()));
+            }
+        }
     }
 
     fn step(&mut self, event: Event, effects: &mut Vec<Effect>) {
--- a/crates/node/src/worker_client.rs
+++ b/crates/node/src/worker_client.rs
@@ -55,6 +55,9 @@
         let id = format_compact!("{}-{}", self.run_prefix, execute.id);
         let request = run_request(&id, &execute);
         let limit = execute.timeout;
+        if execute.fresh {
+            self.client.forget(&execute.address);
+        }
         let response = self.client.exchange(&execute.address, request, limit).await;
         match response {
             Err(Failure::NotSent) => Err(ExecuteFault::NotRun),
--- a/crates/standin/src/schedule/edges.rs
+++ b/crates/standin/src/schedule/edges.rs
@@ -98,6 +98,10 @@
                     from: from_name,
                     frame,
                 };
+                // A frame without an acknowledgement is sent again.
+                if self.rng.u32(..50) == 0 {
+                    self.deliver_after(500, at, incarnation, event.clone());
+                }
                 self.deliver(at, incarnation, event);
             }
         }
