--- /dev/null
+++ b/crates/control/src/claims.rs
@@ -0,0 +1,207 @@
+//! Claims of idempotency keys and the outcomes recorded with them.
+//!
+//! Invariant: at most one request holds the claim of a key, by the version of
+//! its row; a recorded result never changes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::{Answer, Cell, Condition, Fault, Hash, Name, Reason, Refusal, Transaction, Write};
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::Stage;
+use crate::node::Node;
+use crate::notice::Notice;
+use crate::store::{Answered, Purpose, first_row, read_row, version_of};
+
+/// Largest body kept with an outcome.
+const MAX_KEPT_BODY: usize = 8 * 1024;
+/// Time for which an outcome may wait for the store.
+const OUTCOME_TIME: Duration = Duration::from_secs(900);
+
+/// State of an idempotency key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum State {
+    /// Claimed; the request may have been sent.
+    Claimed,
+    /// Not run; the key may be claimed again.
+    NotRun,
+    /// Answered.
+    Done { status: u16, body: Option<Bytes> },
+}
+
+/// Row of an idempotency key.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Claim {
+    pub(crate) fingerprint: Hash,
+    pub(crate) claimant: u64,
+    pub(crate) state: State,
+}
+
+/// A claim held for a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    pub(crate) key: Name,
+    pub(crate) fingerprint: Hash,
+    /// Row version; zero until the claim is committed.
+    pub(crate) version: u64,
+}
+
+impl Node {
+    pub(crate) fn write_claim(&mut self, id: u64) {
+        let Some(pending) = self.gateway.pending.get(&id) else {
+            return;
+        };
+        let Some(held) = &pending.held else {
+            return;
+        };
+        let claim = Claim {
+            fingerprint: held.fingerprint.clone(),
+            claimant: id,
+            state: State::Claimed,
+        };
+        let transaction = claim_transaction(&held.key, held.version, &claim);
+        let queued = self
+            .store
+            .write(transaction, Purpose::Claim(id), pending.deadline);
+        if !queued {
+            let refusal = Refusal::after(Reason::StoreDown, Duration::from_secs(2));
+            self.finish(id, Answer::Refused(refusal));
+        }
+    }
+
+    pub(crate) fn claim_written(&mut self, id: u64, result: Result<Answered, Fault>) {
+        let Some(pending) = self.gateway.pending.get_mut(&id) else {
+            return;
+        };
+        match result {
+            Ok(answered) => {
+                let held = pending.held.as_mut();
+                held.into_iter()
+                    .for_each(|h| h.version = version_of(&answered));
+                self.route(id);
+            }
+            Err(Fault::Unavailable) => {
+                let refusal = Refusal::after(Reason::StoreDown, Duration::from_secs(2));
+                self.finish(id, Answer::Refused(refusal));
+            }
+            Err(Fault::Condition(_) | Fault::Unknown) => self.check_claim(id),
+        }
+    }
+
+    pub(crate) fn check_claim(&mut self, id: u64) {
+        let key = self.gateway.pending.get(&id).and_then(|p| p.held.as_ref());
+        let Some(key) = key.map(|held| held.key.clone()) else {
+            return;
+        };
+        let effect = self
+            .store
+            .read(read_row(key), Purpose::ClaimCheck(id), self.now);
+        self.out.push(effect);
+    }
+
+    pub(crate) fn claim_read(&mut self, id: u64, result: Result<Answered, Fault>) {
+        let Some(cell) = first_row(result) else {
+            // Not sent yet, so "not run" is true.
+            let refusal = Refusal::after(Reason::StoreDown, Duration::from_secs(2));
+            return self.finish(id, Answer::Refused(refusal));
+        };
+        self.claim_found(id, &cell);
+    }
+
+    pub(crate) fn claim_found(&mut self, id: u64, cell: &Cell) {
+        let Some(pending) = self.gateway.pending.get_mut(&id) else {
+            return;
+        };
+        let Some(held) = pending.held.as_mut() else {
+            return;
+        };
+        if cell.version == 0 {
+            held.version = 0;
+            return match pending.stage {
+                Stage::Abandoned => self.route(id),
+                _ => self.write_claim(id),
+            };
+        }
+        let Ok(claim) = postcard::from_bytes::<Claim>(&cell.value) else {
+            self.log(Notice::JobMalformed(Name::from("claim")));
+            return self.finish_silently(id, Answer::Unknown);
+        };
+        match claim.state {
+            _ if claim.fingerprint != held.fingerprint => {
+                let refusal = Refusal::fixed(Reason::KeyReused);
+                self.finish_silently(id, Answer::Refused(refusal));
+            }
+            State::Claimed if claim.claimant == id => {
+                held.version = cell.version;
+                self.route(id);
+            }
+            State::Claimed | State::Done { body: None, .. } => {
+                self.finish_silently(id, Answer::Unknown);
+            }
+            State::NotRun => {
+                held.version = cell.version;
+                self.write_claim(id);
+            }
+            State::Done {
+                status,
+                body: Some(body),
+            } => self.finish_silently(id, Answer::Done { status, body }),
+        }
+    }
+
+    pub(crate) fn record_outcome(&mut self, id: u64, held: Held, answer: &Answer) {
+        let state = match answer {
+            Answer::Done { status, body } => State::Done {
+                status: *status,
+                body: Some(body.clone()).filter(|b| b.len() <= MAX_KEPT_BODY),
+            },
+            Answer::Refused(_) => State::NotRun,
+            Answer::Unknown => return,
+        };
+        let claim = Claim {
+            fingerprint: held.fingerprint,
+            claimant: id,
+            state,
+        };
+        self.gateway
+            .outcomes
+            .insert(id, (held.key, claim, held.version));
+        self.write_outcome(id);
+    }
+
+    pub(crate) fn write_outcome(&mut self, id: u64) {
+        let Some((key, claim, version)) = self.gateway.outcomes.get(&id) else {
+            return;
+        };
+        let transaction = claim_transaction(key, *version, claim);
+        let deadline = self.now + OUTCOME_TIME;
+        self.store
+            .write(transaction, Purpose::Outcome(id), deadline);
+    }
+
+    pub(crate) fn outcome_written(&mut self, id: u64, result: &Result<Answered, Fault>) {
+        match result {
+            // The same write again fails on its version if it took effect.
+            Err(Fault::Unknown | Fault::Unavailable) => self.write_outcome(id),
+            _ => {
+                self.gateway.outcomes.remove(&id);
+            }
+        }
+    }
+}
+
+fn claim_transaction(key: &Name, version: u64, claim: &Claim) -> Transaction {
+    // Serializing plain data to memory has no failing case.
+    let value = postcard::to_stdvec(claim).unwrap_or_default();
+    Transaction {
+        conditions: vec![Condition {
+            key: key.clone(),
+            version,
+        }],
+        writes: vec![Write {
+            key: key.clone(),
+            value: Some(Bytes::from(value)),
+        }],
+    }
+}
--- a/crates/control/src/dispatch.rs
+++ b/crates/control/src/dispatch.rs
@@ -7,14 +7,14 @@
 //! allotted slots, and a run whose fate is unknown keeps its slot until it
 //! must have ended.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use model::{Answer, Life, Name, Reason, Refusal, Vm};
-use wire::{Frame, Serve, ServiceLoad};
+use wire::{Frame, Serve};
 
 use crate::event::{Effect, Execute, ExecuteFault, Measure, Whole};
 use crate::node::Node;
+use crate::slots::{MIN_HEDGE, Run, Service, Slots, Waiting};
 
 /// Time in which a frame may be repeated.
 const REPEAT_TIME: Duration = Duration::from_secs(60);
@@ -22,204 +22,10 @@
 const MAX_RUNS: u32 = 3;
 /// Time for which a failing executor is avoided.
 const AVOID_TIME: Duration = Duration::from_secs(2);
-/// First guess of a run's length in ms.
-const FIRST_RUN_MS: f64 = 50.0;
 /// Time after which a run has ended even if its answer never came.
 const MAX_RUN: Duration = Duration::from_secs(30);
-/// Mean deviations beyond the mean after which an idempotent request is sent
-/// once more.
-const HEDGE_DEVIATIONS: f64 = 6.0;
-/// Shortest time before a request is sent once more.
-const MIN_HEDGE: Duration = Duration::from_millis(500);
 /// Means of a run that must be left to the deadline for a request to be sent.
 const MIN_LEFT_MEANS: f64 = 1.5;
-/// Weight of the newest run in the mean.
-const GAIN: f64 = 0.05;
-
-/// An executor with its slots.
-#[derive(Debug)]
-struct Slots {
-    name: Name,
-    service: Name,
-    address: Name,
-    slots: u32,
-    busy: u32,
-    live: bool,
-    usable: bool,
-    avoid_until: Duration,
-}
-
-/// A request that waits or runs.
-#[derive(Clone, Debug)]
-struct Waiting {
-    serve: Serve,
-    origin: Name,
-    arrived: Duration,
-    deadline: Duration,
-    runs: u32,
-    /// True once an earlier run of it was left open.
-    may_have_run: bool,
-}
-
-impl Waiting {
-    /// The answer when it is given up unsent.
-    fn unsent(&self, reason: Reason) -> Answer {
-        match self.may_have_run {
-            true => Answer::Unknown,
-            false => Answer::Refused(Refusal::after(reason, Duration::from_secs(1))),
-        }
-    }
-}
-
-/// A run on an executor.
-#[derive(Debug)]
-struct Run {
-    waiting: Waiting,
-    executor: usize,
-    started: Duration,
-    charged: f64,
-    /// True once the request was queued again; that run answers for it.
-    hedged: bool,
-}
-
-/// One team's line at one service.
-#[derive(Debug, Default)]
-struct Line {
-    waiting: VecDeque<Waiting>,
-    virtual_time: f64,
-}
-
-/// One service's lines.
-#[derive(Debug)]
-struct Service {
-    lines: BTreeMap<Name, Line>,
-    virtual_time: f64,
-    mean_ms: f64,
-    deviation_ms: f64,
-    waiting: u32,
-}
-
-impl Default for Service {
-    fn default() -> Self {
-        Self {
-            lines: BTreeMap::new(),
-            virtual_time: 0.0,
-            mean_ms: FIRST_RUN_MS,
-            deviation_ms: FIRST_RUN_MS,
-            waiting: 0,
-        }
-    }
-}
-
-impl Service {
-    /// Mean and deviation as in Jacobson, "Congestion Avoidance", 1988.
-    fn learn(&mut self, ran_ms: f64) {
-        let error = ran_ms - self.mean_ms;
-        self.mean_ms += GAIN * error;
-        self.deviation_ms += GAIN * (error.abs() - self.deviation_ms);
-    }
-
-    /// Time after which a run is slower than nearly all others.
-    fn slow_after(&self) -> Duration {
-        let slow_ms = self.mean_ms + HEDGE_DEVIATIONS * self.deviation_ms;
-        Duration::from_secs_f64(slow_ms / 1_000.0).max(MIN_HEDGE)
-    }
-}
-
-/// Requests of one data centre.
-#[derive(Debug, Default)]
-pub(crate) struct Dispatcher {
-    executors: Vec<Slots>,
-    services: BTreeMap<Name, Service>,
-    runs: BTreeMap<u64, Run>,
-    held: BTreeMap<Name, u32>,
-    ghosts: BTreeSet<(Duration, u64, usize, Name)>,
-    next_run: u64,
-    /// Requests taken in lately, by id, until a time.
-    seen: BTreeMap<u64, Duration>,
-}
-
-impl Dispatcher {
-    /// Notes a request id; false when it was noted already.
-    fn is_new(&mut self, id: u64, until: Duration) -> bool {
-        self.seen.insert(id, until).is_none()
-    }
-
-    pub(crate) fn is_idle(&self) -> bool {
-        self.runs.is_empty() && self.services.values().all(|s| s.waiting == 0)
-    }
-
-    /// Sets whether the executor on a worker may get new requests.
-    pub(crate) fn set_usable(&mut self, worker: &Name, stays: bool) {
-        let found = self.executors.iter_mut().find(|e| e.name == *worker);
-        found.into_iter().for_each(|e| e.usable = e.live && stays);
-    }
-
-    /// Slots that a team holds.
-    pub(crate) fn held_by(&self, team: &Name) -> u32 {
-        self.held.get(team).copied().unwrap_or(0)
-    }
-
-    /// True when a request of the team waits.
-    pub(crate) fn waits(&self, team: &Name) -> bool {
-        let mut lines = self.services.values().filter_map(|s| s.lines.get(team));
-        lines.any(|l| !l.waiting.is_empty())
-    }
-
-    pub(crate) fn load_of(&self, service: &Name) -> Option<ServiceLoad> {
-        self.loads().into_iter().find(|l| l.service == *service)
-    }
-
-    /// Free slots and waiting requests of each service.
-    pub(crate) fn loads(&self) -> Vec<ServiceLoad> {
-        let mut loads: Vec<ServiceLoad> = Vec::new();
-        for executor in self.executors.iter().filter(|e| e.usable) {
-            let free = executor.slots - executor.busy.min(executor.slots);
-            match loads.iter_mut().find(|l| l.service == executor.service) {
-                Some(load) => load.free += free,
-                None => loads.push(ServiceLoad {
-                    service: executor.service.clone(),
-                    free,
-                    waiting: self
-                        .services
-                        .get(&executor.service)
-                        .map_or(0, |s| s.waiting),
-                }),
-            }
-        }
-        loads
-    }
-
-    fn slots_of(&self, service: &Name) -> u32 {
-        let live = self
-            .executors
-            .iter()
-            .filter(|e| e.usable && e.service == *service);
-        live.map(|e| e.slots).sum()
-    }
-
-    /// The least loaded executor with a free slot.
-    fn free_executor(&self, service: &Name, now: Duration) -> Option<usize> {
-        let mut best: Option<(bool, u32, usize)> = None;
-        for (at, executor) in self.executors.iter().enumerate() {
-            let usable = executor.usable && executor.busy < executor.slots;
-            if !usable || executor.service != *service {
-                continue;
-            }
-            let rank = (executor.avoid_until > now, executor.busy, at);
-            if best.is_none_or(|b| rank < b) {
-                best = Some(rank);
-            }
-        }
-        best.filter(|(avoided, _, _)| !avoided).map(|(_, _, at)| at)
-    }
-
-    /// Reservations of slots never exceed what executors have.
-    pub(crate) fn overfull(&self) -> Option<&Name> {
-        let over = self.executors.iter().find(|e| e.busy > e.slots);
-        over.map(|e| &e.name)
-    }
-}
 
 impl Node {
     /// Takes an executor from the VM list.
--- a/crates/control/src/gateway.rs
+++ b/crates/control/src/gateway.rs
@@ -12,16 +12,13 @@
 
 use bytes::Bytes;
 use compact_str::format_compact;
-use model::{
-    Answer, Cell, Condition, Fault, Hash, Name, Reason, Refusal, Transaction, Work, Write, key,
-};
-use serde::{Deserialize, Serialize};
+use model::{Answer, Hash, Name, Reason, Refusal, Work, key};
 use wire::{Frame, Query, Serve};
 
+use crate::claims::{Claim, Held};
 use crate::event::{CallerId, Reply};
 use crate::node::Node;
 use crate::notice::Notice;
-use crate::store::{Answered, Purpose, first_row, read_row, version_of};
 use crate::submit::Submission;
 
 /// Longest time for which a caller may wait.
@@ -34,43 +31,12 @@
 const RETRY_EARNED: f64 = 0.1;
 /// Most retries saved up.
 const RETRY_BURST: f64 = 100.0;
-/// Largest body kept with an outcome.
-const MAX_KEPT_BODY: usize = 8 * 1024;
-/// Time for which an outcome may wait for the store.
-const OUTCOME_TIME: Duration = Duration::from_secs(900);
 /// Most requests in hand at one node.
 const MAX_REQUESTS: usize = 8_192;
 
-/// State of an idempotency key.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-enum State {
-    /// Claimed; the request may have been sent.
-    Claimed,
-    /// Not run; the key may be claimed again.
-    NotRun,
-    /// Answered.
-    Done { status: u16, body: Option<Bytes> },
-}
-
-/// Row of an idempotency key.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct Claim {
-    fingerprint: Hash,
-    claimant: u64,
-    state: State,
-}
-
-/// A claim held for a request.
-#[derive(Clone, Debug)]
-struct Held {
-    key: Name,
-    fingerprint: Hash,
-    /// Row version; zero until the claim is committed.
-    version: u64,
-}
-
+/// Where a request in hand stands.
 #[derive(Clone, Debug, PartialEq)]
-enum Stage {
+pub(crate) enum Stage {
     Claiming,
     Unrouted,
     Routed(Name),
@@ -80,29 +46,29 @@
 
 /// A request in hand.
 #[derive(Debug)]
-struct Pending {
-    caller: Option<CallerId>,
-    team: Name,
-    queue: Name,
-    service: Name,
-    body: Bytes,
-    held: Option<Held>,
-    arrived: Duration,
-    deadline: Duration,
-    stage: Stage,
-    tried: Vec<Name>,
-    routes: u32,
+pub(crate) struct Pending {
+    pub(crate) caller: Option<CallerId>,
+    pub(crate) team: Name,
+    pub(crate) queue: Name,
+    pub(crate) service: Name,
+    pub(crate) body: Bytes,
+    pub(crate) held: Option<Held>,
+    pub(crate) arrived: Duration,
+    pub(crate) deadline: Duration,
+    pub(crate) stage: Stage,
+    pub(crate) tried: Vec<Name>,
+    pub(crate) routes: u32,
     /// True once an owner's answer left open whether the request ran.
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
 }
 
 /// Requests and submissions in hand.
 #[derive(Debug, Default)]
 pub(crate) struct Gateway {
-    pending: BTreeMap<u64, Pending>,
+    pub(crate) pending: BTreeMap<u64, Pending>,
     deadlines: BTreeSet<(Duration, u64)>,
     unrouted: BTreeSet<u64>,
-    outcomes: BTreeMap<u64, (Name, Claim, u64)>,
+    pub(crate) outcomes: BTreeMap<u64, (Name, Claim, u64)>,
     pub(crate) submissions: BTreeMap<u64, Submission>,
     pub(crate) questions: BTreeMap<u64, (CallerId, Duration)>,
     retries: f64,
@@ -190,110 +156,8 @@
         }
     }
 
-    fn write_claim(&mut self, id: u64) {
-        let Some(pending) = self.gateway.pending.get(&id) else {
-            return;
-        };
-        let Some(held) = &pending.held else {
-            return;
-        };
-        let claim = Claim {
-            fingerprint: held.fingerprint.clone(),
-            claimant: id,
-            state: State::Claimed,
-        };
-        let transaction = claim_transaction(&held.key, held.version, &claim);
-        let queued = self
-            .store
-            .write(transaction, Purpose::Claim(id), pending.deadline);
-        if !queued {
-            let refusal = Refusal::after(Reason::StoreDown, Duration::from_secs(2));
-            self.finish(id, Answer::Refused(refusal));
-        }
-    }
-
-    pub(crate) fn claim_written(&mut self, id: u64, result: Result<Answered, Fault>) {
-        let Some(pending) = self.gateway.pending.get_mut(&id) else {
-            return;
-        };
-        match result {
-            Ok(answered) => {
-                let held = pending.held.as_mut();
-                held.into_iter()
-                    .for_each(|h| h.version = version_of(&answered));
-                self.route(id);
-            }
-            Err(Fault::Unavailable) => {
-                let refusal = Refusal::after(Reason::StoreDown, Duration::from_secs(2));
-                self.finish(id, Answer::Refused(refusal));
-            }
-            Err(Fault::Condition(_) | Fault::Unknown) => self.check_claim(id),
-        }
-    }
-
-    fn check_claim(&mut self, id: u64) {
-        let key = self.gateway.pending.get(&id).and_then(|p| p.held.as_ref());
-        let Some(key) = key.map(|held| held.key.clone()) else {
-            return;
-        };
-        let effect = self
-            .store
-            .read(read_row(key), Purpose::ClaimCheck(id), self.now);
-        self.out.push(effect);
-    }
-
-    pub(crate) fn claim_read(&mut self, id: u64, result: Result<Answered, Fault>) {
-        let Some(cell) = first_row(result) else {
-            // Not sent yet, so "not run" is true.
-            let refusal = Refusal::after(Reason::StoreDown, Duration::from_secs(2));
-            return self.finish(id, Answer::Refused(refusal));
-        };
-        self.claim_found(id, &cell);
-    }
-
-    fn claim_found(&mut self, id: u64, cell: &Cell) {
-        let Some(pending) = self.gateway.pending.get_mut(&id) else {
-            return;
-        };
-        let Some(held) = pending.held.as_mut() else {
-            return;
-        };
-        if cell.version == 0 {
-            held.version = 0;
-            return match pending.stage {
-                Stage::Abandoned => self.route(id),
-                _ => self.write_claim(id),
-            };
-        }
-        let Ok(claim) = postcard::from_bytes::<Claim>(&cell.value) else {
-            self.log(Notice::JobMalformed(Name::from("claim")));
-            return self.finish_silently(id, Answer::Unknown);
-        };
-        match claim.state {
-            _ if claim.fingerprint != held.fingerprint => {
-                let refusal = Refusal::fixed(Reason::KeyReused);
-                self.finish_silently(id, Answer::Refused(refusal));
-            }
-            State::Claimed if claim.claimant == id => {
-                held.version = cell.version;
-                self.route(id);
-            }
-            State::Claimed | State::Done { body: None, .. } => {
-                self.finish_silently(id, Answer::Unknown);
-            }
-            State::NotRun => {
-                held.version = cell.version;
-                self.write_claim(id);
-            }
-            State::Done {
-                status,
-                body: Some(body),
-            } => self.finish_silently(id, Answer::Done { status, body }),
-        }
-    }
-
     /// Sends a request towards the owner that can serve it soonest.
-    fn route(&mut self, id: u64) {
+    pub(crate) fn route(&mut self, id: u64) {
         let Some(pending) = self.gateway.pending.get(&id) else {
             return;
         };
@@ -400,7 +264,7 @@
     }
 
     /// Answers the caller and records the outcome of a held claim.
-    fn finish(&mut self, id: u64, answer: Answer) {
+    pub(crate) fn finish(&mut self, id: u64, answer: Answer) {
         let Some(pending) = self.gateway.pending.get(&id) else {
             return;
         };
@@ -416,7 +280,7 @@
     }
 
     /// Answers the caller and leaves the claim as it is.
-    fn finish_silently(&mut self, id: u64, answer: Answer) {
+    pub(crate) fn finish_silently(&mut self, id: u64, answer: Answer) {
         let Some(pending) = self.gateway.pending.remove(&id) else {
             return;
         };
@@ -430,46 +294,6 @@
         }
     }
 
-    fn record_outcome(&mut self, id: u64, held: Held, answer: &Answer) {
-        let state = match answer {
-            Answer::Done { status, body } => State::Done {
-                status: *status,
-                body: Some(body.clone()).filter(|b| b.len() <= MAX_KEPT_BODY),
-            },
-            Answer::Refused(_) => State::NotRun,
-            Answer::Unknown => return,
-        };
-        let claim = Claim {
-            fingerprint: held.fingerprint,
-            claimant: id,
-            state,
-        };
-        self.gateway
-            .outcomes
-            .insert(id, (held.key, claim, held.version));
-        self.write_outcome(id);
-    }
-
-    fn write_outcome(&mut self, id: u64) {
-        let Some((key, claim, version)) = self.gateway.outcomes.get(&id) else {
-            return;
-        };
-        let transaction = claim_transaction(key, *version, claim);
-        let deadline = self.now + OUTCOME_TIME;
-        self.store
-            .write(transaction, Purpose::Outcome(id), deadline);
-    }
-
-    pub(crate) fn outcome_written(&mut self, id: u64, result: &Result<Answered, Fault>) {
-        match result {
-            // The same write again fails on its version if it took effect.
-            Err(Fault::Unknown | Fault::Unavailable) => self.write_outcome(id),
-            _ => {
-                self.gateway.outcomes.remove(&id);
-            }
-        }
-    }
-
     /// Times requests out and routes those that waited for an owner.
     pub(crate) fn tick_gateway(&mut self) {
         while let Some((at, id)) = self.gateway.deadlines.first().copied() {
@@ -585,18 +409,3 @@
     let legal = |c: char| c.is_ascii_alphanumeric() || "._-:".contains(c);
     !key.is_empty() && key.len() <= 128 && key.chars().all(legal)
 }
-
-fn claim_transaction(key: &Name, version: u64, claim: &Claim) -> Transaction {
-    // Serializing plain data to memory has no failing case.
-    let value = postcard::to_stdvec(claim).unwrap_or_default();
-    Transaction {
-        conditions: vec![Condition {
-            key: key.clone(),
-            version,
-        }],
-        writes: vec![Write {
-            key: key.clone(),
-            value: Some(Bytes::from(value)),
-        }],
-    }
-}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub(crate) mod allotment;
 pub(crate) mod calls;
+pub(crate) mod claims;
 pub(crate) mod configuration;
 pub(crate) mod dispatch;
 pub(crate) mod event;
@@ -19,9 +20,13 @@
 pub(crate) mod owner;
 pub(crate) mod relay;
 pub(crate) mod settings;
+pub(crate) mod slots;
 pub(crate) mod store;
+pub(crate) mod strays;
 pub(crate) mod submit;
+pub(crate) mod takeover;
 pub(crate) mod verify;
+pub(crate) mod view;
 
 pub use event::{
     Ask, CallerId, Effect, Event, Execute, ExecuteFault, Fleet, Measure, Peer, Reply, Tables,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -9,7 +9,6 @@
 use wire::{Frame, Query};
 
 use crate::configuration::Configuration;
-use crate::dispatch::Dispatcher;
 use crate::event::{Ask, CallerId, Effect, Event, Fleet, Reply, Tables};
 use crate::gateway::Gateway;
 use crate::jobs::OPERATORS;
@@ -17,6 +16,7 @@
 use crate::notice::Notice;
 use crate::owner::Owner;
 use crate::settings::Settings;
+use crate::slots::Dispatcher;
 use crate::store::{Answered, Purpose, Store};
 
 /// Gap between events that is reported as a pause.
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -14,26 +14,22 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use model::{Cell, Condition, Epoch, Fault, Life, Name, Resources, Transaction, Vm};
+use model::{Cell, Condition, Epoch, Fault, Life, Name, Transaction, Vm};
 use policy::{Engine, Settings as PolicySettings, State, TeamId};
 use serde::{Deserialize, Serialize};
-use wire::{Frame, Load};
+use wire::Frame;
 
 use crate::allotment::Allotments;
 use crate::calls::{Backend, Contact};
-use crate::event::TeamUse;
 use crate::jobs::Jobs;
 use crate::node::Node;
 use crate::notice::Notice;
-use crate::store::{Answered, Purpose, version_of};
+use crate::store::{Answered, Purpose};
 use crate::submit::row;
+use crate::takeover::TAKE_TIME;
 
 /// Most placement decisions in one step.
 const MAX_DECISIONS: usize = 256;
-/// Time allowed for the commit of an epoch.
-const TAKE_TIME: Duration = Duration::from_secs(3);
-/// Time for which a survey of workers is awaited.
-const SURVEY_TIME: Duration = Duration::from_millis(1_200);
 /// Bits of an attempt number below the epoch.
 const EPOCH_SHIFT: u32 = 20;
 
@@ -83,7 +79,7 @@
     pub(crate) racks: Vec<Name>,
     pub(crate) uncertain_until: Option<Duration>,
     pub(crate) confirmed: bool,
-    started: Duration,
+    pub(crate) started: Duration,
 }
 
 impl Owner {
@@ -146,7 +142,7 @@
 
     /// Number of workers that count for a majority, and how many of them
     /// confirmed this epoch since `since`.
-    fn witnesses(&self, since: Duration) -> (usize, usize) {
+    pub(crate) fn witnesses(&self, since: Duration) -> (usize, usize) {
         let listed = || self.workers.iter().filter(|w| w.life != Life::Gone);
         let fresh = |w: &&Backend| w.confirmed.is_some_and(|at| at >= since);
         (listed().count(), listed().filter(fresh).count())
@@ -173,19 +169,6 @@
         self.racks.push(rack.clone());
         (self.racks.len() - 1) as u16
     }
-
-    pub(crate) fn view(&self) -> Vec<crate::event::Backend> {
-        if !self.is_active() {
-            return Vec::new();
-        }
-        let view = |w: &Backend| crate::event::Backend {
-            name: w.name.clone(),
-            free: self.engine.free(w.id),
-            running: self.engine.tasks_on(w.id) as u32,
-            reachable: w.misses == 0,
-        };
-        self.workers.iter().map(view).collect()
-    }
 }
 
 impl Node {
@@ -235,108 +218,8 @@
         self.consider_takeover();
     }
 
-    /// Starts a takeover when the recorded holder seems to be gone.
-    fn consider_takeover(&mut self) {
-        if self.owner.tenure != Tenure::Idle || self.draining_since.is_some() {
-            return;
-        }
-        let bound = self.settings.timing.peer_silent;
-        let listened = self.now >= self.owner.started + bound + self.settings.timing.beat;
-        let record = &self.owner.record;
-        let me = record.holder == self.settings.identity.name;
-        match record {
-            r if r.epoch == 0 || r.released => self.take(),
-            r if self.members.is_alive(&r.holder) => {}
-            // A process of the same name has been replaced by this one.
-            _ if me => self.take(),
-            _ if listened => self.survey(),
-            _ => {}
-        }
-    }
-
-    fn survey(&mut self) {
-        let until = self.now + SURVEY_TIME;
-        self.owner.tenure = Tenure::Surveying { until };
-        for worker in &mut self.owner.workers {
-            worker.holder_seen = None;
-            worker.next_call = self.now;
-        }
-    }
-
-    /// True when a worker says that the recorded holder calls it.
-    fn holder_is_calling(&self) -> bool {
-        let bound = self.settings.timing.peer_silent.as_millis() as u64;
-        let record = &self.owner.record;
-        let mut seen = self
-            .owner
-            .workers
-            .iter()
-            .filter_map(|w| w.holder_seen.as_ref());
-        seen.any(|(holder, epoch, ms)| {
-            *holder == record.holder && *epoch == record.epoch && *ms < bound
-        })
-    }
-
-    fn take(&mut self) {
-        if self.owner.workers.is_empty() {
-            return;
-        }
-        self.owner.tenure = Tenure::Taking;
-        let record = Record {
-            epoch: self.owner.record.epoch + 1,
-            holder: self.settings.identity.name.clone(),
-            released: false,
-        };
-        self.log(Notice::TakingOver(
-            self.owner.data_centre.clone(),
-            record.epoch,
-        ));
-        let transaction = Transaction {
-            conditions: vec![self.owner.guard()],
-            writes: vec![row(&self.owner.row_key(), &record)],
-        };
-        let purpose = Purpose::Take(self.owner.data_centre.clone());
-        let deadline = self.now + TAKE_TIME;
-        if !self.store.write(transaction, purpose, deadline) {
-            self.owner.tenure = Tenure::Idle;
-        }
-    }
-
-    pub(crate) fn take_written(&mut self, result: Result<Answered, Fault>) {
-        if self.owner.tenure != Tenure::Taking {
-            return;
-        }
-        match result {
-            Ok(answered) => {
-                self.owner.row = version_of(&answered);
-                self.owner.record.epoch += 1;
-                self.owner.record.released = false;
-                self.owner.record.holder = self.settings.identity.name.clone();
-                self.begin_claim();
-            }
-            // If the write took effect, the next poll shows this node's name
-            // in a row version that it does not know, and it takes the epoch
-            // after that one.
-            Err(_) => self.owner.tenure = Tenure::Idle,
-        }
-    }
-
-    fn begin_claim(&mut self) {
-        let first = self.owner.record.epoch == 1;
-        let wait = self.settings.timing.owner_lease + self.settings.timing.surely_lapsed();
-        self.owner.tenure = Tenure::Claiming { since: self.now };
-        self.owner.store_confirmed = Some(self.now);
-        self.owner.uncertain_until = (!first).then_some(self.now + wait);
-        self.owner.confirmed = true;
-        self.reset_engine();
-        for worker in &mut self.owner.workers {
-            worker.begin_epoch(self.now);
-        }
-        self.poll();
-    }
-
     /// Forgets what an earlier epoch knew.
-    fn reset_engine(&mut self) {
+    pub(crate) fn reset_engine(&mut self) {
         let preset = self.configuration.config.preset();
         let owner = &mut self.owner;
         owner.engine = Engine::new(PolicySettings::from(&preset));
@@ -396,46 +279,6 @@
         self.tick_allotments();
     }
 
-    /// Becomes active once the workers' state is known well enough.
-    fn consider_activation(&mut self, since: Duration) {
-        if !self.owner.jobs.loaded || !self.owner.allotments.loaded {
-            return;
-        }
-        let timing = &self.settings.timing;
-        let (listed, claimed) = self.owner.witnesses(since);
-        let waited = self.now >= since + timing.owner_lease + timing.margin;
-        let first = self.owner.record.epoch == 1;
-        if claimed == listed || ((first || waited) && claimed * 2 > listed) {
-            self.owner.tenure = Tenure::Active;
-            self.log(Notice::Owner(
-                self.owner.data_centre.clone(),
-                self.owner.record.epoch,
-            ));
-            self.settle_uncertainty();
-        }
-    }
-
-    /// Ends the withholding of tasks once nothing of an earlier epoch runs
-    /// unseen.
-    fn settle_uncertainty(&mut self) {
-        let Some(until) = self.owner.uncertain_until else {
-            return;
-        };
-        let since = match self.owner.tenure {
-            Tenure::Claiming { since } => since,
-            Tenure::Active => Duration::ZERO,
-            _ => return,
-        };
-        let claimed = |w: &Backend| w.life == Life::Gone || w.claimed;
-        let all = since == Duration::ZERO && self.owner.workers.iter().all(claimed);
-        if !all && until > self.now {
-            return;
-        }
-        self.owner.uncertain_until = None;
-        self.owner.engine.release_withheld();
-        self.apply_config();
-    }
-
     /// Notices that the owner's lease is not confirmed, or is again.
     fn watch_confirmation(&mut self) {
         let confirmed = self.may_act();
@@ -537,46 +380,4 @@
         self.owner.jobs.decisions = decisions;
         self.send_orders();
     }
-
-    /// The published load of this node's data centre, when it is the owner.
-    pub(crate) fn own_load(&self) -> Option<Load> {
-        if !self.owner.is_active() {
-            return None;
-        }
-        let mut load = Load {
-            data_centre: self.owner.data_centre.clone(),
-            epoch: self.owner.record.epoch,
-            services: self.dispatcher.loads(),
-            waiting_tasks: self.owner.engine.waiting_tasks(),
-            ..Load::default()
-        };
-        for worker in self.owner.workers.iter().filter(|w| w.claimed) {
-            load.total = load.total.plus(worker.capacity);
-            load.free = load.free.plus(self.owner.engine.free(worker.id));
-            load.largest = load.largest.max(worker.capacity);
-        }
-        Some(load)
-    }
-
-    pub(crate) fn team_view(&self) -> Vec<TeamUse> {
-        if !self.owner.is_active() {
-            return Vec::new();
-        }
-        let view = |(at, name): (usize, &Name)| {
-            let id = at as TeamId;
-            let slots = self.dispatcher.held_by(name);
-            let allotment = self.allotment_of(name);
-            TeamUse {
-                name: name.clone(),
-                used: self
-                    .owner
-                    .engine
-                    .used(id)
-                    .plus(Resources::of(0, 0, 0, slots)),
-                waiting: self.owner.engine.waiting(id),
-                allotment: Some(allotment).filter(|a| *a != Resources::UNLIMITED),
-            }
-        };
-        self.owner.teams.iter().enumerate().map(view).collect()
-    }
 }
--- /dev/null
+++ b/crates/control/src/takeover.rs
@@ -0,0 +1,163 @@
+//! Takeover of a data centre's workers by the next epoch.
+//!
+//! Invariant: a node acts for an epoch only after its predecessor has stopped:
+//! every worker has accepted the claim, or a majority has and the predecessor's
+//! lease is over.
+
+use std::time::Duration;
+
+use model::{Fault, Life, Transaction};
+
+use crate::calls::Backend;
+use crate::node::Node;
+use crate::notice::Notice;
+use crate::owner::{Record, Tenure};
+use crate::store::{Answered, Purpose, version_of};
+use crate::submit::row;
+
+/// Time allowed for the commit of an epoch.
+pub(crate) const TAKE_TIME: Duration = Duration::from_secs(3);
+/// Time for which a survey of workers is awaited.
+const SURVEY_TIME: Duration = Duration::from_millis(1_200);
+
+impl Node {
+    /// Starts a takeover when the recorded holder seems to be gone.
+    pub(crate) fn consider_takeover(&mut self) {
+        if self.owner.tenure != Tenure::Idle || self.draining_since.is_some() {
+            return;
+        }
+        let bound = self.settings.timing.peer_silent;
+        let listened = self.now >= self.owner.started + bound + self.settings.timing.beat;
+        let record = &self.owner.record;
+        let me = record.holder == self.settings.identity.name;
+        match record {
+            r if r.epoch == 0 || r.released => self.take(),
+            r if self.members.is_alive(&r.holder) => {}
+            // A process of the same name has been replaced by this one.
+            _ if me => self.take(),
+            _ if listened => self.survey(),
+            _ => {}
+        }
+    }
+
+    fn survey(&mut self) {
+        let until = self.now + SURVEY_TIME;
+        self.owner.tenure = Tenure::Surveying { until };
+        for worker in &mut self.owner.workers {
+            worker.holder_seen = None;
+            worker.next_call = self.now;
+        }
+    }
+
+    /// True when a worker says that the recorded holder calls it.
+    pub(crate) fn holder_is_calling(&self) -> bool {
+        let bound = self.settings.timing.peer_silent.as_millis() as u64;
+        let record = &self.owner.record;
+        let mut seen = self
+            .owner
+            .workers
+            .iter()
+            .filter_map(|w| w.holder_seen.as_ref());
+        seen.any(|(holder, epoch, ms)| {
+            *holder == record.holder && *epoch == record.epoch && *ms < bound
+        })
+    }
+
+    pub(crate) fn take(&mut self) {
+        if self.owner.workers.is_empty() {
+            return;
+        }
+        self.owner.tenure = Tenure::Taking;
+        let record = Record {
+            epoch: self.owner.record.epoch + 1,
+            holder: self.settings.identity.name.clone(),
+            released: false,
+        };
+        self.log(Notice::TakingOver(
+            self.owner.data_centre.clone(),
+            record.epoch,
+        ));
+        let transaction = Transaction {
+            conditions: vec![self.owner.guard()],
+            writes: vec![row(&self.owner.row_key(), &record)],
+        };
+        let purpose = Purpose::Take(self.owner.data_centre.clone());
+        let deadline = self.now + TAKE_TIME;
+        if !self.store.write(transaction, purpose, deadline) {
+            self.owner.tenure = Tenure::Idle;
+        }
+    }
+
+    pub(crate) fn take_written(&mut self, result: Result<Answered, Fault>) {
+        if self.owner.tenure != Tenure::Taking {
+            return;
+        }
+        match result {
+            Ok(answered) => {
+                self.owner.row = version_of(&answered);
+                self.owner.record.epoch += 1;
+                self.owner.record.released = false;
+                self.owner.record.holder = self.settings.identity.name.clone();
+                self.begin_claim();
+            }
+            // If the write took effect, the next poll shows this node's name
+            // in a row version that it does not know, and it takes the epoch
+            // after that one.
+            Err(_) => self.owner.tenure = Tenure::Idle,
+        }
+    }
+
+    fn begin_claim(&mut self) {
+        let first = self.owner.record.epoch == 1;
+        let wait = self.settings.timing.owner_lease + self.settings.timing.surely_lapsed();
+        self.owner.tenure = Tenure::Claiming { since: self.now };
+        self.owner.store_confirmed = Some(self.now);
+        self.owner.uncertain_until = (!first).then_some(self.now + wait);
+        self.owner.confirmed = true;
+        self.reset_engine();
+        for worker in &mut self.owner.workers {
+            worker.begin_epoch(self.now);
+        }
+        self.poll();
+    }
+
+    /// Becomes active once the workers' state is known well enough.
+    pub(crate) fn consider_activation(&mut self, since: Duration) {
+        if !self.owner.jobs.loaded || !self.owner.allotments.loaded {
+            return;
+        }
+        let timing = &self.settings.timing;
+        let (listed, claimed) = self.owner.witnesses(since);
+        let waited = self.now >= since + timing.owner_lease + timing.margin;
+        let first = self.owner.record.epoch == 1;
+        if claimed == listed || ((first || waited) && claimed * 2 > listed) {
+            self.owner.tenure = Tenure::Active;
+            self.log(Notice::Owner(
+                self.owner.data_centre.clone(),
+                self.owner.record.epoch,
+            ));
+            self.settle_uncertainty();
+        }
+    }
+
+    /// Ends the withholding of tasks once nothing of an earlier epoch runs
+    /// unseen.
+    pub(crate) fn settle_uncertainty(&mut self) {
+        let Some(until) = self.owner.uncertain_until else {
+            return;
+        };
+        let since = match self.owner.tenure {
+            Tenure::Claiming { since } => since,
+            Tenure::Active => Duration::ZERO,
+            _ => return,
+        };
+        let claimed = |w: &Backend| w.life == Life::Gone || w.claimed;
+        let all = since == Duration::ZERO && self.owner.workers.iter().all(claimed);
+        if !all && until > self.now {
+            return;
+        }
+        self.owner.uncertain_until = None;
+        self.owner.engine.release_withheld();
+        self.apply_config();
+    }
+}
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -45,9 +45,6 @@
     pub preempt: bool,
     /// Most requests waiting per team and queue before refusal.
     pub max_waiting: u32,
-    /// Share in percent of request slots that may be lent beyond a team's
-    /// share while others wait.
-    pub lend_percent: u8,
 }
 
 impl Default for Preset {
@@ -57,7 +54,6 @@
             reserve_after_ms: 2_000,
             preempt: true,
             max_waiting: 64,
-            lend_percent: 0,
         }
     }
 }
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -9,14 +9,10 @@
 use crate::health::Health;
 use crate::learn::Estimates;
 use crate::preempt::Claim;
-use crate::queue::{Job, JobRef, Outcome, Queues, Shape, Slot, TeamId};
+use crate::queue::{Job, JobRef, Queues, Shape, Slot, TeamId};
 use crate::tree::Tree;
 use crate::worker::{State, Task, Worker, WorkerId};
 
-/// Distinct workers on which a job's tasks may fail before it is given up.
-const MAX_FAILED_WORKERS: usize = 4;
-/// Attempts of one task after which its job is given up.
-const MAX_ATTEMPTS: Attempt = 12;
 /// Time constant of decayed usage in ms.
 const USAGE_DECAY_MS: f64 = 30_000.0;
 /// Period in ms at which blocked gangs and urgent work are tried again.
@@ -120,7 +116,7 @@
     pub(crate) held: Vec<WorkerId>,
     pub(crate) sample_from: usize,
     next_retry_ms: u64,
-    failed: Vec<JobRef>,
+    pub(crate) failed: Vec<JobRef>,
     retired: Vec<JobRef>,
 }
 
@@ -311,67 +307,6 @@
             .any(|w| w.state == State::Open && each.fits(&w.capacity))
     }
 
-    /// Records a task found running, as a new owner learns of it. A task of
-    /// an ended job only holds its room until it ends.
-    pub fn adopt(
-        &mut self,
-        job: JobRef,
-        task: TaskIndex,
-        attempt: Attempt,
-        worker: WorkerId,
-        each: Resources,
-    ) {
-        self.queues.jobs[job as usize].take_waiting(task);
-        self.commit(worker, job, task, attempt, each);
-        if self.queues.jobs[job as usize].pending.is_empty() {
-            self.queues.dequeue(job);
-        }
-    }
-
-    /// Withholds all waiting tasks of a job: they may still run unseen.
-    pub fn withhold(&mut self, job: JobRef) {
-        let entry = &mut self.queues.jobs[job as usize];
-        let tasks = entry.pending.drain(..).map(|(index, _)| index);
-        entry.withheld.extend(tasks);
-        self.queues.dequeue(job);
-    }
-
-    /// True when a task is withheld.
-    #[must_use]
-    pub fn is_withheld(&self, job: JobRef, task: TaskIndex) -> bool {
-        self.queues.jobs[job as usize].withheld.contains(&task)
-    }
-
-    /// True when a task waits or is withheld.
-    #[must_use]
-    pub fn is_waiting(&self, job: JobRef, task: TaskIndex) -> bool {
-        let entry = &self.queues.jobs[job as usize];
-        entry.pending.iter().any(|(index, _)| *index == task) || entry.withheld.contains(&task)
-    }
-
-    /// Queues all withheld tasks again.
-    pub fn release_withheld(&mut self) {
-        for job in 0..self.queues.jobs.len() {
-            let entry = &mut self.queues.jobs[job];
-            let first = entry.first_attempt;
-            let tasks = entry.withheld.drain(..).map(|index| (index, first));
-            entry.pending.extend(tasks);
-            self.queues.enqueue(job as JobRef);
-        }
-    }
-
-    /// Records that a waiting or withheld task completed without having been
-    /// placed here.
-    pub fn settle_elsewhere(&mut self, job: JobRef, task: TaskIndex) {
-        let entry = &mut self.queues.jobs[job as usize];
-        if entry.take_waiting(task) {
-            entry.completed += 1;
-        }
-        if entry.pending.is_empty() {
-            self.queues.dequeue(job);
-        }
-    }
-
     /// Attempts that a worker runs.
     pub fn attempts_on(
         &self,
@@ -430,7 +365,7 @@
         }
     }
 
-    fn retire(&mut self, job: JobRef) {
+    pub(crate) fn retire(&mut self, job: JobRef) {
         let entry = &mut self.queues.jobs[job as usize];
         if entry.ended && entry.running == 0 && entry.seq != 0 {
             entry.seq = 0;
@@ -445,96 +380,6 @@
         out.append(&mut self.retired);
     }
 
-    /// Records the end of an attempt; false when no such attempt runs there.
-    pub fn ended(
-        &mut self,
-        worker: WorkerId,
-        job: JobRef,
-        task: TaskIndex,
-        attempt: Attempt,
-        outcome: Outcome,
-        now_ms: u64,
-    ) -> bool {
-        self.advance(now_ms);
-        let tasks = &mut self.workers[worker as usize].tasks;
-        let found = |t: &Task| t.job == job && t.index == task && t.attempt == attempt;
-        let Some(at) = tasks.iter().position(found) else {
-            return false;
-        };
-        let task = tasks.swap_remove(at);
-        self.release(worker, &task);
-        self.settle(worker, &task, outcome);
-        self.offer(worker);
-        self.retire(job);
-        true
-    }
-
-    fn release(&mut self, worker: WorkerId, task: &Task) {
-        let entry = &mut self.workers[worker as usize];
-        entry.recount();
-        let rack = entry.rack;
-        let job = &mut self.queues.jobs[task.job as usize];
-        job.running -= 1;
-        let slot = job.racks.iter_mut().find(|(r, _)| *r == rack);
-        slot.into_iter().for_each(|(_, n)| *n = n.saturating_sub(1));
-        let team = &mut self.queues.teams[job.team as usize];
-        team.used = team.used.minus(task.each);
-    }
-
-    fn settle(&mut self, worker: WorkerId, task: &Task, outcome: Outcome) {
-        let job = &mut self.queues.jobs[task.job as usize];
-        let ran_ms = self.now_ms.saturating_sub(task.started_ms);
-        match outcome {
-            Outcome::Completed => {
-                job.completed += 1;
-                self.estimates.record(job.class, ran_ms);
-                self.workers[worker as usize].health.completed();
-                return;
-            }
-            Outcome::Interrupted if task.stopping => job.preempted += 1,
-            Outcome::Interrupted => {}
-            Outcome::Failed => self.record_failure(worker, task.job, task.attempt),
-        }
-        let job = &mut self.queues.jobs[task.job as usize];
-        if !job.ended {
-            job.pending.push((task.index, task.attempt + 1));
-            self.queues.enqueue(task.job);
-        }
-    }
-
-    fn record_failure(&mut self, worker: WorkerId, job: JobRef, attempt: Attempt) {
-        let now_ms = self.now_ms;
-        if self.workers[worker as usize].health.failed(job, now_ms) && !self.held.contains(&worker)
-        {
-            self.held.push(worker);
-        }
-        let entry = &mut self.queues.jobs[job as usize];
-        if !entry.failed_on.contains(&worker) {
-            entry.failed_on.push(worker);
-        }
-        let everywhere = entry.failed_on.len() >= MAX_FAILED_WORKERS && entry.completed == 0;
-        if (everywhere || attempt - entry.first_attempt >= MAX_ATTEMPTS) && !entry.ended {
-            self.failed.push(job);
-        }
-    }
-
-    /// Ends broken jobs and forgives the workers that only they failed on.
-    fn give_up_broken(&mut self, out: &mut Vec<Decision>) {
-        while let Some(job) = self.failed.pop() {
-            if self.queues.jobs[job as usize].ended {
-                continue;
-            }
-            out.push(Decision::Fail { job });
-            for at in 0..self.queues.jobs[job as usize].failed_on.len() {
-                let worker = self.queues.jobs[job as usize].failed_on[at];
-                if self.workers[worker as usize].health.forgive(job) {
-                    self.offer(worker);
-                }
-            }
-            self.cancel(job, out);
-        }
-    }
-
     /// Decides what can start now, at most `max` decisions beyond those that
     /// `out` has.
     pub fn place(&mut self, now_ms: u64, max: usize, out: &mut Vec<Decision>) {
--- /dev/null
+++ b/crates/policy/src/finish.rs
@@ -0,0 +1,107 @@
+//! Ends of attempts and what follows from them.
+//!
+//! Invariant: the room of an attempt is free exactly from the call that records
+//! its end.
+
+use model::{Attempt, TaskIndex};
+
+use crate::engine::{Decision, Engine};
+use crate::queue::{JobRef, Outcome};
+use crate::worker::{Task, WorkerId};
+
+/// Distinct workers on which a job's tasks may fail before it is given up.
+const MAX_FAILED_WORKERS: usize = 4;
+/// Attempts of one task after which its job is given up.
+const MAX_ATTEMPTS: Attempt = 12;
+
+impl Engine {
+    /// Records the end of an attempt; false when no such attempt runs there.
+    pub fn ended(
+        &mut self,
+        worker: WorkerId,
+        job: JobRef,
+        task: TaskIndex,
+        attempt: Attempt,
+        outcome: Outcome,
+        now_ms: u64,
+    ) -> bool {
+        self.advance(now_ms);
+        let tasks = &mut self.workers[worker as usize].tasks;
+        let found = |t: &Task| t.job == job && t.index == task && t.attempt == attempt;
+        let Some(at) = tasks.iter().position(found) else {
+            return false;
+        };
+        let task = tasks.swap_remove(at);
+        self.release(worker, &task);
+        self.settle(worker, &task, outcome);
+        self.offer(worker);
+        self.retire(job);
+        true
+    }
+
+    fn release(&mut self, worker: WorkerId, task: &Task) {
+        let entry = &mut self.workers[worker as usize];
+        entry.recount();
+        let rack = entry.rack;
+        let job = &mut self.queues.jobs[task.job as usize];
+        job.running -= 1;
+        let slot = job.racks.iter_mut().find(|(r, _)| *r == rack);
+        slot.into_iter().for_each(|(_, n)| *n = n.saturating_sub(1));
+        let team = &mut self.queues.teams[job.team as usize];
+        team.used = team.used.minus(task.each);
+    }
+
+    fn settle(&mut self, worker: WorkerId, task: &Task, outcome: Outcome) {
+        let job = &mut self.queues.jobs[task.job as usize];
+        let ran_ms = self.now_ms.saturating_sub(task.started_ms);
+        match outcome {
+            Outcome::Completed => {
+                job.completed += 1;
+                self.estimates.record(job.class, ran_ms);
+                self.workers[worker as usize].health.completed();
+                return;
+            }
+            Outcome::Interrupted if task.stopping => job.preempted += 1,
+            Outcome::Interrupted => {}
+            Outcome::Failed => self.record_failure(worker, task.job, task.attempt),
+        }
+        let job = &mut self.queues.jobs[task.job as usize];
+        if !job.ended {
+            job.pending.push((task.index, task.attempt + 1));
+            self.queues.enqueue(task.job);
+        }
+    }
+
+    fn record_failure(&mut self, worker: WorkerId, job: JobRef, attempt: Attempt) {
+        let now_ms = self.now_ms;
+        if self.workers[worker as usize].health.failed(job, now_ms) && !self.held.contains(&worker)
+        {
+            self.held.push(worker);
+        }
+        let entry = &mut self.queues.jobs[job as usize];
+        if !entry.failed_on.contains(&worker) {
+            entry.failed_on.push(worker);
+        }
+        let everywhere = entry.failed_on.len() >= MAX_FAILED_WORKERS && entry.completed == 0;
+        if (everywhere || attempt - entry.first_attempt >= MAX_ATTEMPTS) && !entry.ended {
+            self.failed.push(job);
+        }
+    }
+
+    /// Ends broken jobs and forgives the workers that only they failed on.
+    pub(crate) fn give_up_broken(&mut self, out: &mut Vec<Decision>) {
+        while let Some(job) = self.failed.pop() {
+            if self.queues.jobs[job as usize].ended {
+                continue;
+            }
+            out.push(Decision::Fail { job });
+            for at in 0..self.queues.jobs[job as usize].failed_on.len() {
+                let worker = self.queues.jobs[job as usize].failed_on[at];
+                if self.workers[worker as usize].health.forgive(job) {
+                    self.offer(worker);
+                }
+            }
+            self.cancel(job, out);
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,11 +9,13 @@
 pub(crate) mod backfill;
 pub(crate) mod engine;
 pub(crate) mod explain;
+pub(crate) mod finish;
 pub(crate) mod gang;
 pub(crate) mod health;
 pub(crate) mod learn;
 pub(crate) mod preempt;
 pub(crate) mod queue;
+pub(crate) mod recover;
 pub(crate) mod select;
 pub(crate) mod tree;
 pub(crate) mod verify;
--- /dev/null
+++ b/crates/policy/src/recover.rs
@@ -0,0 +1,73 @@
+//! What a new owner learns of tasks that earlier owners started.
+//!
+//! Invariant: a task is pending, withheld, running or completed, never two of
+//! these.
+
+use model::{Attempt, Resources, TaskIndex};
+
+use crate::engine::Engine;
+use crate::queue::JobRef;
+use crate::worker::WorkerId;
+
+impl Engine {
+    /// Records a task found running, as a new owner learns of it. A task of
+    /// an ended job only holds its room until it ends.
+    pub fn adopt(
+        &mut self,
+        job: JobRef,
+        task: TaskIndex,
+        attempt: Attempt,
+        worker: WorkerId,
+        each: Resources,
+    ) {
+        self.queues.jobs[job as usize].take_waiting(task);
+        self.commit(worker, job, task, attempt, each);
+        if self.queues.jobs[job as usize].pending.is_empty() {
+            self.queues.dequeue(job);
+        }
+    }
+
+    /// Withholds all waiting tasks of a job: they may still run unseen.
+    pub fn withhold(&mut self, job: JobRef) {
+        let entry = &mut self.queues.jobs[job as usize];
+        let tasks = entry.pending.drain(..).map(|(index, _)| index);
+        entry.withheld.extend(tasks);
+        self.queues.dequeue(job);
+    }
+
+    /// True when a task is withheld.
+    #[must_use]
+    pub fn is_withheld(&self, job: JobRef, task: TaskIndex) -> bool {
+        self.queues.jobs[job as usize].withheld.contains(&task)
+    }
+
+    /// True when a task waits or is withheld.
+    #[must_use]
+    pub fn is_waiting(&self, job: JobRef, task: TaskIndex) -> bool {
+        let entry = &self.queues.jobs[job as usize];
+        entry.pending.iter().any(|(index, _)| *index == task) || entry.withheld.contains(&task)
+    }
+
+    /// Queues all withheld tasks again.
+    pub fn release_withheld(&mut self) {
+        for job in 0..self.queues.jobs.len() {
+            let entry = &mut self.queues.jobs[job];
+            let first = entry.first_attempt;
+            let tasks = entry.withheld.drain(..).map(|index| (index, first));
+            entry.pending.extend(tasks);
+            self.queues.enqueue(job as JobRef);
+        }
+    }
+
+    /// Records that a waiting or withheld task completed without having been
+    /// placed here.
+    pub fn settle_elsewhere(&mut self, job: JobRef, task: TaskIndex) {
+        let entry = &mut self.queues.jobs[job as usize];
+        if entry.take_waiting(task) {
+            entry.completed += 1;
+        }
+        if entry.pending.is_empty() {
+            self.queues.dequeue(job);
+        }
+    }
+}
--- a/crates/standin/src/cell/client.rs
+++ b/crates/standin/src/cell/client.rs
@@ -140,6 +140,8 @@
         headers: &[(&str, &str)],
         limit: Duration,
     ) -> (Option<Response<Bytes>>, bool) {
+        let there_and_back = Duration::from_micros(2 * self.deployment.client_delay_us);
+        tokio::time::sleep(there_and_back).await;
         let mut unsure = false;
         let mut tried = Vec::new();
         for _ in 0..TRIES {
