--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -142,7 +142,6 @@
         self.watch_peers();
         self.watch_keys();
         if self.now >= self.next_poll {
-            self.next_poll = self.now + self.settings.timing.poll;
             self.poll();
         }
         self.check_vouchers();
@@ -283,8 +282,9 @@
     pub(crate) fn poll(&mut self) {
         let purpose = Purpose::Poll(self.owner.record.epoch);
         if self.store.has(&purpose) {
-            return;
+            return; // Due again as soon as the one in flight has ended.
         }
+        self.next_poll = self.now + self.settings.timing.poll;
         let rows = vec![
             (Name::from("config"), self.configuration.row),
             (self.owner.row_key(), self.owner.row),
