Make keys from the operating system's random numbers; visit only due jobs

Cause: keys came from a generator that is not meant for secrets; every tick visited and copied all job ids. Change: getrandom makes keys; a tick visits the jobs that are to be saved or forgotten.

--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -317,7 +317,13 @@
         if !self.owner.holds_epoch() {
             return;
         }
-        let ids: Vec<JobId> = self.owner.jobs.entries.keys().cloned().collect();
+        let (now, retention) = (self.now, self.settings.timing.retention);
+        let due = |e: &Entry| {
+            let over = e.ended_at.is_some_and(|at| at + retention <= now);
+            !e.saving && (e.dirty || (over && !e.deleted))
+        };
+        let entries = self.owner.jobs.entries.iter().filter(|(_, e)| due(e));
+        let ids: Vec<JobId> = entries.map(|(id, _)| id.clone()).collect();
         for id in ids {
             self.save_job(&id);
             self.forget_job(&id);
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -11,8 +11,8 @@
 use crate::api::{Api, Failure};
 use crate::show;
 
-/// Length of a new key in characters.
-const KEY_CHARS: usize = 40;
+/// Random bytes in a new key, from the operating system.
+const KEY_BYTES: usize = 24;
 
 fn named(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name).required(true).help(help)
@@ -232,9 +232,9 @@
 
 /// Makes a key here; only its hash is sent.
 async fn grant(api: &Api, team: &Name, expect: Option<u64>) -> Result<(Value, String), Failure> {
-    // Seeded by the operating system for each process.
-    let mut rng = fastrand::Rng::new();
-    let plain: String = (0..KEY_CHARS).map(|_| rng.alphanumeric()).collect();
+    let mut bytes = [0_u8; KEY_BYTES];
+    getrandom::fill(&mut bytes).map_err(|e| Failure::Input(e.to_string()))?;
+    let plain: String = bytes.iter().map(|b| format!("{b:02x}")).collect();
     let change = Change::GrantKey {
         team: team.clone(),
         hash: key::hash(&plain),
