--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -307,34 +307,6 @@
             .any(|w| w.state == State::Open && each.fits(&w.capacity))
     }
 
-    /// Attempts that a worker runs.
-    pub fn attempts_on(
-        &self,
-        worker: WorkerId,
-    ) -> impl Iterator<Item = (JobRef, TaskIndex, Attempt)> + '_ {
-        let tasks = &self.workers[worker as usize].tasks;
-        tasks.iter().map(|t| (t.job, t.index, t.attempt))
-    }
-
-    /// Number of tasks that a worker runs.
-    #[must_use]
-    pub fn tasks_on(&self, worker: WorkerId) -> usize {
-        self.workers[worker as usize].tasks.len()
-    }
-
-    /// Whether a worker takes new tasks.
-    #[must_use]
-    pub fn state_of(&self, worker: WorkerId) -> State {
-        self.workers[worker as usize].state
-    }
-
-    /// Tasks that wait, over all jobs.
-    #[must_use]
-    pub fn waiting_tasks(&self) -> u32 {
-        let waiting = self.queues.jobs.iter().filter(|j| j.queued);
-        waiting.map(|j| j.pending.len() as u32).sum()
-    }
-
     /// Ends a job: nothing more of it starts, and its running tasks are to
     /// be stopped by the returned decisions.
     pub fn cancel(&mut self, job: JobRef, out: &mut Vec<Decision>) {
--- a/crates/policy/src/explain.rs
+++ b/crates/policy/src/explain.rs
@@ -1,16 +1,44 @@
-//! Reasons why a job waits.
+//! Views of the engine's state, and reasons why a job waits.
 //!
-//! Invariant: explanations are derived from state and change nothing.
+//! Invariant: views and explanations are derived from state and change nothing.
 
 use compact_str::{CompactString, format_compact};
-use model::{Name, Resources, Work};
+use model::{Attempt, Name, Resources, TaskIndex, Work};
 
 use crate::engine::Engine;
 use crate::gang::copies;
 use crate::queue::JobRef;
-use crate::worker::State;
+use crate::worker::{State, WorkerId};
 
 impl Engine {
+    /// Attempts that a worker runs.
+    pub fn attempts_on(
+        &self,
+        worker: WorkerId,
+    ) -> impl Iterator<Item = (JobRef, TaskIndex, Attempt)> + '_ {
+        let tasks = &self.workers[worker as usize].tasks;
+        tasks.iter().map(|t| (t.job, t.index, t.attempt))
+    }
+
+    /// Number of tasks that a worker runs.
+    #[must_use]
+    pub fn tasks_on(&self, worker: WorkerId) -> usize {
+        self.workers[worker as usize].tasks.len()
+    }
+
+    /// Whether a worker takes new tasks.
+    #[must_use]
+    pub fn state_of(&self, worker: WorkerId) -> State {
+        self.workers[worker as usize].state
+    }
+
+    /// Tasks that wait, over all jobs.
+    #[must_use]
+    pub fn waiting_tasks(&self) -> u32 {
+        let waiting = self.queues.jobs.iter().filter(|j| j.queued);
+        waiting.map(|j| j.pending.len() as u32).sum()
+    }
+
     /// Tasks of a job that run now.
     #[must_use]
     pub fn running(&self, job: JobRef) -> u32 {
--- a/crates/standin/tests/promises.rs
+++ b/crates/standin/tests/promises.rs
@@ -7,15 +7,19 @@
 /// Seeds of each combination.
 const SEEDS: [u64; 4] = [1, 2, 11, 12];
 
-/// Runs one schedule; the error text names what is needed to run it again.
-fn run(faults: &[Fault], seed: u64) -> Result<(u64, usize), String> {
+/// A failing run; its text names what is needed to run it again.
+#[derive(Clone, Debug, PartialEq)]
+struct Failure(String);
+
+/// Runs one schedule and counts the requests answered and jobs accepted.
+fn run(faults: &[Fault], seed: u64) -> Result<(u64, usize), Failure> {
     let mut schedule = Schedule::new(seed, faults);
     match schedule.run() {
         Ok(()) => Ok((schedule.callers.answered, schedule.callers.jobs())),
         Err(failing) => {
             let text = describe(faults, seed, &failing, &schedule);
             println!("{text}");
-            Err(text)
+            Err(Failure(text))
         }
     }
 }
@@ -57,7 +61,7 @@
             match run(faults, seed) {
                 Ok((answered, jobs)) if answered > 100 && jobs > 20 => {}
                 Ok(done) => failures.push(format!("{faults:?} seed {seed}: only {done:?} done")),
-                Err(failure) => failures.push(failure),
+                Err(Failure(text)) => failures.push(text),
             }
         }
     }
