--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod answer;
 pub mod config;
+pub mod graph;
 pub(crate) mod id;
 pub mod job;
 pub mod key;
@@ -16,6 +17,7 @@
 
 pub use answer::{Answer, Reason, Refusal};
 pub use config::{Change, Config, Conflict, Order, Preset, Queue, Team};
+pub use graph::{End, Graph, Occurrence, Recurrence, Run, Stage, Step, StepIndex, TaskName};
 pub use id::{Attempt, Epoch, JobId, Name, TaskIndex};
 pub use job::{Job, Phase, Spec, Status, Work};
 pub use key::Hash;
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -20,7 +20,7 @@
 
 /// Failure record of one worker.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Health {
+pub struct Health {
     streak: u8,
     jobs: [Option<JobRef>; DISTINCT_JOB_FAILURES],
     holds: u32,
@@ -30,7 +30,8 @@
 
 impl Health {
     /// True when the worker may be offered work while it runs `running` tasks.
-    pub(crate) fn takes_work(&self, now_ms: u64, running: usize) -> bool {
+    #[must_use]
+    pub fn takes_work(&self, now_ms: u64, running: usize) -> bool {
         match self.probation {
             true => now_ms >= self.held_until_ms && running == 0,
             false => true,
@@ -43,12 +44,12 @@
     }
 
     /// Records a completion.
-    pub(crate) fn completed(&mut self) {
+    pub fn completed(&mut self) {
         *self = Self::default();
     }
 
     /// Records a failure; true when the worker is held back by it.
-    pub(crate) fn failed(&mut self, job: JobRef, now_ms: u64) -> bool {
+    pub fn failed(&mut self, job: JobRef, now_ms: u64) -> bool {
         self.streak = self.streak.saturating_add(1);
         if !self.jobs.contains(&Some(job)) {
             let free = self.jobs.iter_mut().find(|j| j.is_none());
--- a/crates/policy/src/learn.rs
+++ b/crates/policy/src/learn.rs
@@ -21,13 +21,13 @@
 
 /// Learned run times, indexed by class.
 #[derive(Debug, Default)]
-pub(crate) struct Estimates {
+pub struct Estimates {
     classes: Vec<Class>,
 }
 
 impl Estimates {
     /// Records that a task of `class` ran for `ran_ms`.
-    pub(crate) fn record(&mut self, class: u32, ran_ms: u64) {
+    pub fn record(&mut self, class: u32, ran_ms: u64) {
         let index = class as usize;
         if index >= self.classes.len() {
             self.classes.resize(index + 1, Class::default());
@@ -45,9 +45,16 @@
     }
 
     /// An upper estimate in ms; `None` until the class has completions.
-    pub(crate) fn upper_ms(&self, class: u32) -> Option<u64> {
+    #[must_use]
+    pub fn upper_ms(&self, class: u32) -> Option<u64> {
         let entry = self.classes.get(class as usize)?;
         let trusted = entry.seen >= TRUSTED_AFTER;
         trusted.then_some((entry.mean_ms + 2.0 * entry.deviation_ms).max(1.0) as u64)
     }
+    /// Mean run time in ms; `None` until the class has completions.
+    #[must_use]
+    pub fn mean_ms(&self, class: u32) -> Option<u64> {
+        let entry = self.classes.get(class as usize)?;
+        (entry.seen > 0).then_some(entry.mean_ms.max(1.0) as u64)
+    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub(crate) mod engine;
 pub(crate) mod explain;
 pub(crate) mod finish;
+pub mod fit;
 pub(crate) mod gang;
 pub(crate) mod health;
 pub(crate) mod learn;
@@ -22,6 +23,8 @@
 pub(crate) mod worker;
 
 pub use engine::{Decision, Engine, Request, Settings};
+pub use health::Health;
+pub use learn::Estimates;
 pub use queue::{JobRef, Outcome, TeamId};
 pub use verify::Violation;
 pub use worker::{State, WorkerId};
--- /dev/null
+++ b/crates/sched/src/accounts.rs
@@ -0,0 +1,104 @@
+//! Room and team limits: what each run holds, on its backend server and of
+//! its team.
+//!
+//! Invariant: a run holds its resources from the decision to start it until
+//! it is surely over.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use model::{Name, Resources};
+
+use crate::fleet::{Fleet, ServerIx};
+use crate::ledger::{Ledger, Life, Placed, RunRef};
+
+/// What each team has running.
+#[derive(Debug, Default)]
+pub(crate) struct Accounts {
+    used: HashMap<Name, Resources>,
+}
+
+impl Accounts {
+    /// What a team has running.
+    pub(crate) fn used(&self, team: &Name) -> Resources {
+        self.used.get(team).copied().unwrap_or(Resources::ZERO)
+    }
+
+    /// True when a team may have `more` running under `limit`, whose zeros
+    /// mean "no limit".
+    pub(crate) fn allows(&self, team: &Name, limit: &Resources, more: Resources) -> bool {
+        let wanted = self.used(team).plus(more);
+        let within = |wanted: u32, limit: u32| limit == 0 || wanted <= limit;
+        within(wanted.millicpus, limit.millicpus)
+            && within(wanted.memory_mib, limit.memory_mib)
+            && within(wanted.accelerators, limit.accelerators)
+    }
+}
+
+/// Commits room for a run that is about to be ordered, or that was found.
+pub(crate) fn begin(
+    ledger: &mut Ledger,
+    fleet: &mut Fleet,
+    accounts: &mut Accounts,
+    run: RunRef,
+    server: ServerIx,
+    life: Life,
+    now: Duration,
+) {
+    let Some(spec) = ledger.spec(run.task.step) else {
+        return;
+    };
+    let (committed, whole) = (spec.committed(), spec.each);
+    let placed = Placed {
+        server,
+        life,
+        held: whole,
+        ordered_at: now,
+        confirmed_at: now,
+        percent: 0,
+        gauge: 0,
+        pace: 100,
+        above_since: None,
+        stop_call: None,
+        stop_acked: None,
+        next_stop: Duration::ZERO,
+    };
+    if ledger.runs.insert(run, placed).is_some() {
+        return;
+    }
+    if let Some(task) = ledger.task_mut(run.task) {
+        task.runs.push(run.number);
+        task.last_run = task.last_run.max(run.number);
+    }
+    let entry = fleet.get_mut(server);
+    entry.used = entry.used.plus(committed);
+    entry.runs.insert(run);
+    if let Some(job) = ledger.jobs.get(&run.task.step.job) {
+        let used = accounts.used.entry(job.team.clone()).or_default();
+        *used = used.plus(whole);
+    }
+}
+
+/// Gives back the room of a run that is surely over.
+pub(crate) fn finish(
+    ledger: &mut Ledger,
+    fleet: &mut Fleet,
+    accounts: &mut Accounts,
+    run: RunRef,
+    now: Duration,
+) -> Option<Placed> {
+    let placed = ledger.runs.remove(&run)?;
+    let committed = ledger.spec(run.task.step).map(model::Step::committed);
+    if let Some(task) = ledger.task_mut(run.task) {
+        task.runs.retain(|number| *number != run.number);
+        task.away_since = now;
+    }
+    let entry = fleet.get_mut(placed.server);
+    entry.used = entry.used.minus(committed.unwrap_or(Resources::ZERO));
+    entry.runs.remove(&run);
+    if let Some(job) = ledger.jobs.get(&run.task.step.job) {
+        let used = accounts.used.entry(job.team.clone()).or_default();
+        *used = used.minus(placed.held);
+    }
+    Some(placed)
+}
--- /dev/null
+++ b/crates/sched/src/advice.rs
@@ -0,0 +1,299 @@
+//! Asking the outside policy which backend servers may run a step.
+//!
+//! The policy serves one call at a time for each VM that calls, so the owner
+//! spreads its calls over the VMs that offer to help.
+//!
+//! Invariant: a step has at most one call under way, and a ticket is used
+//! only while it is valid.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+use compact_str::format_compact;
+use model::Name;
+
+use crate::event::{Advice, AdviceFault, CallId, CallerId, Effect, Errand, Measure, Reply};
+use crate::fleet::ServerIx;
+use crate::ledger::StepRef;
+use crate::notice::{Notice, ms};
+use crate::owner::{Cx, Owner};
+
+/// Most backend servers that one call may name.
+const MAX_NAMED: usize = 100;
+/// Errands at least this long may not take the last idle helpers.
+const LONG: Duration = Duration::from_millis(100);
+/// Idle helpers kept for short errands.
+const KEPT_FOR_SHORT: usize = 2;
+/// Pause after a call that failed.
+const RETRY: Duration = Duration::from_millis(200);
+/// Time beyond the policy's own time after which a call counts as lost.
+const SLACK: Duration = Duration::from_millis(600);
+/// Silence after which a helper is forgotten.
+const HELPER_SILENCE: Duration = Duration::from_secs(5);
+
+/// A question under way or waiting.
+#[derive(Debug)]
+struct Asked {
+    step: StepRef,
+    errand: Errand,
+    priority: u32,
+    sent: Duration,
+    helper: Name,
+}
+
+/// A VM that can ask the policy.
+#[derive(Debug, Default)]
+struct Helper {
+    /// Its offer that waits for an answer.
+    offer: Option<(CallerId, Duration)>,
+    /// Errand that it carries out.
+    busy: Option<CallId>,
+    heard: Duration,
+}
+
+/// Questions and helpers.
+#[derive(Debug, Default)]
+pub(crate) struct Desk {
+    asked: HashMap<CallId, Asked>,
+    waiting: VecDeque<CallId>,
+    helpers: BTreeMap<Name, Helper>,
+    local: Option<CallId>,
+}
+
+impl Desk {
+    fn idle_helpers(&self) -> impl Iterator<Item = &Name> {
+        let idle = |(_, helper): &(&Name, &Helper)| helper.offer.is_some();
+        self.helpers.iter().filter(idle).map(|(name, _)| name)
+    }
+
+    fn idle_count(&self) -> usize {
+        self.idle_helpers().count() + usize::from(self.local.is_none())
+    }
+
+    /// Position of the question to ask next: by priority, then by age.
+    fn next(&self) -> Option<usize> {
+        let few = self.idle_count() <= KEPT_FOR_SHORT && self.helpers.len() > KEPT_FOR_SHORT;
+        let asked = |call: &CallId| self.asked.get(call);
+        let fits = |a: &Asked| !few || a.errand.takes < LONG;
+        let waiting = self.waiting.iter().enumerate();
+        waiting
+            .filter_map(|(i, call)| asked(call).filter(|a| fits(a)).map(|a| (a.priority, i)))
+            .min()
+            .map(|(_, i)| i)
+    }
+}
+
+impl Owner {
+    /// Asks the policy about a step, unless a call is under way or none is
+    /// due. `servers` are the candidates.
+    pub(crate) fn ask_advice(
+        &mut self,
+        step: StepRef,
+        priority: u32,
+        admission: crate::config::Admission,
+        servers: &[ServerIx],
+        cx: &mut Cx<'_>,
+    ) {
+        let named: Vec<Name> = servers
+            .iter()
+            .take(MAX_NAMED)
+            .map(|ix| self.fleet.get(*ix).listing.id.clone())
+            .collect();
+        let Some(job) = self.ledger.jobs.get(&step.job).map(|job| job.id.clone()) else {
+            return;
+        };
+        let Some(state) = self.ledger.step_mut(step) else {
+            return;
+        };
+        let due = state.grant.call.is_none() && cx.now() >= state.grant.next_call;
+        if !due || named.is_empty() {
+            return;
+        }
+        let call = cx.call();
+        state.grant.call = Some(call);
+        let errand = Errand {
+            id: call,
+            step: (job, step.occurrence, step.step),
+            takes: admission.time(named.len()),
+            servers: named,
+        };
+        let asked = Asked {
+            step,
+            errand,
+            priority,
+            sent: cx.now(),
+            helper: Name::default(),
+        };
+        self.desk.asked.insert(call, asked);
+        self.desk.waiting.push_back(call);
+        self.dispatch_advice(cx);
+    }
+
+    /// Gives waiting questions to idle helpers.
+    fn dispatch_advice(&mut self, cx: &mut Cx<'_>) {
+        while self.desk.idle_count() > 0 {
+            let Some(position) = self.desk.next() else {
+                return;
+            };
+            let Some(call) = self.desk.waiting.remove(position) else {
+                return;
+            };
+            let helper = self.desk.idle_helpers().next().cloned();
+            self.hand_out(call, helper, cx);
+        }
+    }
+
+    fn hand_out(&mut self, call: CallId, helper: Option<Name>, cx: &mut Cx<'_>) {
+        let Some(asked) = self.desk.asked.get_mut(&call) else {
+            return;
+        };
+        asked.sent = cx.now();
+        asked.helper = helper.clone().unwrap_or_default();
+        let errand = asked.errand.clone();
+        let notice = Notice::AdviceAsked {
+            job: errand.step.0.clone(),
+            step: format_compact!("{}.{}", errand.step.1, errand.step.2),
+            servers: errand.servers.len() as u32,
+            helper: asked.helper.clone(),
+        };
+        cx.log(notice);
+        let offer = helper.and_then(|name| {
+            let helper = self.desk.helpers.get_mut(&name)?;
+            helper.busy = Some(call);
+            helper.offer.take()
+        });
+        match offer {
+            Some((caller, _)) => cx.out.push(Effect::Reply {
+                caller,
+                reply: Reply::Errand(Some(errand)),
+            }),
+            None => {
+                self.desk.local = Some(call);
+                cx.out.push(Effect::Advise {
+                    call,
+                    errand: Box::new(errand),
+                });
+            }
+        }
+    }
+
+    /// Another VM offers to help, and may bring the result of its errand.
+    pub(crate) fn offered(
+        &mut self,
+        caller: CallerId,
+        name: Name,
+        result: Option<(CallId, Result<Advice, AdviceFault>)>,
+        cx: &mut Cx<'_>,
+    ) {
+        let helper = self.desk.helpers.entry(name).or_default();
+        helper.busy = None;
+        helper.heard = cx.now();
+        let replaced = helper.offer.replace((caller, cx.now()));
+        if let Some((caller, _)) = replaced {
+            let reply = Reply::Errand(None);
+            cx.out.push(Effect::Reply { caller, reply });
+        }
+        if let Some((call, result)) = result {
+            self.advised(call, result, cx);
+        }
+        self.dispatch_advice(cx);
+    }
+
+    /// The policy's answer to a question.
+    pub(crate) fn advised(
+        &mut self,
+        call: CallId,
+        result: Result<Advice, AdviceFault>,
+        cx: &mut Cx<'_>,
+    ) {
+        self.desk.local.take_if(|local| *local == call);
+        self.desk.waiting.retain(|waiting| *waiting != call);
+        if let Some(asked) = self.desk.asked.remove(&call) {
+            match result {
+                Ok(advice) => self.grant(&asked, &advice, cx),
+                Err(fault) => self.advice_failed(&asked, fault, cx),
+            }
+        }
+        self.dispatch_advice(cx);
+    }
+
+    fn grant(&mut self, asked: &Asked, advice: &Advice, cx: &mut Cx<'_>) {
+        let took = cx.now().saturating_sub(asked.sent);
+        cx.log(Notice::AdviceGiven {
+            job: asked.errand.step.0.clone(),
+            step: format_compact!("{}.{}", asked.errand.step.1, asked.errand.step.2),
+            granted: advice.granted.len() as u32,
+            took_ms: ms(took),
+        });
+        let job = self.ledger.jobs.get(&asked.step.job);
+        let (team, queue) = job
+            .map(|job| (job.team.clone(), job.queue.clone()))
+            .unwrap_or_default();
+        let admission = cx.config.queue(&queue).and_then(|queue| queue.admission);
+        let valid = admission.map_or(Duration::ZERO, |admission| admission.valid);
+        let until = cx.now() + valid.saturating_sub(cx.settings.timing.ticket_margin);
+        cx.out.push(Effect::Record {
+            measure: Measure::Advice,
+            team,
+            queue,
+            value: took,
+        });
+        let Some(state) = self.ledger.step_mut(asked.step) else {
+            return;
+        };
+        let grant = &mut state.grant;
+        grant.call = None;
+        for server in &asked.errand.servers {
+            grant.denied.insert(server.clone());
+        }
+        for (server, ticket) in &advice.granted {
+            grant.denied.remove(server);
+            grant.allowed.insert(server.clone());
+            let ticket = (ticket.clone(), until);
+            grant.tickets.insert(server.clone(), ticket);
+        }
+        self.place_due = true;
+    }
+
+    fn advice_failed(&mut self, asked: &Asked, fault: AdviceFault, cx: &mut Cx<'_>) {
+        cx.log(Notice::AdviceFailed {
+            job: asked.errand.step.0.clone(),
+            step: format_compact!("{}.{}", asked.errand.step.1, asked.errand.step.2),
+            fault: format_compact!("{fault}"),
+        });
+        if let Some(state) = self.ledger.step_mut(asked.step) {
+            state.grant.call = None;
+            state.grant.next_call = cx.now() + RETRY;
+        }
+    }
+
+    /// Answers offers that waited long enough, and gives up lost calls.
+    pub(crate) fn tick_advice(&mut self, cx: &mut Cx<'_>) {
+        let now = cx.now();
+        let wait = cx.settings.timing.offer_wait;
+        for helper in self.desk.helpers.values_mut() {
+            let late = helper.offer.take_if(|(_, since)| now >= *since + wait);
+            if let Some((caller, _)) = late {
+                let reply = Reply::Errand(None);
+                cx.out.push(Effect::Reply { caller, reply });
+            }
+        }
+        self.desk
+            .helpers
+            .retain(|_, helper| now < helper.heard + HELPER_SILENCE);
+        let waiting = &self.desk.waiting;
+        let lost: Vec<CallId> = self
+            .desk
+            .asked
+            .iter()
+            .filter(|(call, asked)| {
+                let out = !waiting.contains(call);
+                out && now >= asked.sent + asked.errand.takes * 2 + SLACK
+            })
+            .map(|(call, _)| *call)
+            .collect();
+        for call in lost {
+            self.advised(call, Err(AdviceFault::Lost), cx);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/owner.rs
@@ -0,0 +1,287 @@
+//! What the owner knows, and the routing of answers to the stages.
+//!
+//! Invariant: an `Owner` lives for one epoch; nothing of it is carried over
+//! to another.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use model::{Name, Run};
+use policy::Estimates;
+
+use crate::accounts::Accounts;
+use crate::advice::Desk;
+use crate::commit::Commits;
+use crate::config::Config;
+use crate::event::{CallId, Effect, Fault, Listing, Order, Outcome, Time};
+use crate::fleet::{Fleet, ServerIx, Standing};
+use crate::ledger::{JobIx, Ledger, Life, RunRef};
+use crate::notice::Notice;
+use crate::recover::Recovery;
+use crate::settings::Settings;
+use crate::term::Term;
+
+/// What every stage may use while it handles an event.
+pub(crate) struct Cx<'a> {
+    pub(crate) settings: &'a Settings,
+    pub(crate) config: &'a Config,
+    pub(crate) term: &'a mut Term,
+    pub(crate) time: Time,
+    pub(crate) next_call: &'a mut CallId,
+    pub(crate) out: &'a mut Vec<Effect>,
+}
+
+impl Cx<'_> {
+    /// Steady time of the event.
+    pub(crate) fn now(&self) -> Duration {
+        self.time.now
+    }
+
+    /// A new call id.
+    pub(crate) fn call(&mut self) -> CallId {
+        *self.next_call += 1;
+        *self.next_call
+    }
+
+    /// Writes a log line.
+    pub(crate) fn log(&mut self, notice: Notice) {
+        self.out.push(Effect::Log(notice));
+    }
+}
+
+/// An order under way.
+#[derive(Clone, Debug)]
+pub(crate) enum Sent {
+    Start(RunRef, ServerIx),
+    Stop(RunRef),
+    Stray,
+    Hold(ServerIx),
+    Pace(RunRef),
+}
+
+/// Runs of jobs that the owner does not know, by backend server.
+pub(crate) type Strays = HashMap<(ServerIx, Run), Duration>;
+
+/// The owner's state.
+#[derive(Debug)]
+pub(crate) struct Owner {
+    pub(crate) ledger: Ledger,
+    pub(crate) fleet: Fleet,
+    pub(crate) accounts: Accounts,
+    pub(crate) desk: Desk,
+    pub(crate) commits: Commits,
+    pub(crate) recovery: Recovery,
+    pub(crate) sent: HashMap<CallId, Sent>,
+    pub(crate) strays: Strays,
+    pub(crate) images: HashMap<Name, u32>,
+    pub(crate) estimates: Estimates,
+    /// Factor on run times away from the data.
+    pub(crate) remote_factor: f64,
+    /// Something changed that may let a task start.
+    pub(crate) place_due: bool,
+    pub(crate) next_place: Duration,
+    pub(crate) next_sweep: Duration,
+}
+
+impl Owner {
+    /// The state of a term that has just begun.
+    pub(crate) fn new(cx: &mut Cx<'_>) -> Self {
+        let mut owner = Self {
+            ledger: Ledger::default(),
+            fleet: Fleet::default(),
+            accounts: Accounts::default(),
+            desk: Desk::default(),
+            commits: Commits::default(),
+            recovery: Recovery::new(cx.now()),
+            sent: HashMap::new(),
+            strays: HashMap::new(),
+            images: HashMap::new(),
+            estimates: Estimates::default(),
+            remote_factor: cx.settings.remote_factor,
+            place_due: false,
+            next_place: Duration::ZERO,
+            next_sweep: Duration::ZERO,
+        };
+        cx.out.push(Effect::WatchServers(true));
+        owner.read_rows(cx);
+        owner
+    }
+
+    /// Sends an order to a backend server.
+    pub(crate) fn order(&mut self, server: ServerIx, order: Order, sent: Sent, cx: &mut Cx<'_>) {
+        let call = cx.call();
+        self.sent.insert(call, sent);
+        let listing = &self.fleet.get(server).listing;
+        cx.out.push(Effect::Order {
+            call,
+            server: listing.id.clone(),
+            address: listing.address.clone(),
+            epoch: cx.term.epoch(),
+            order: Box::new(order),
+        });
+    }
+
+    /// Routes a backend server's answer.
+    pub(crate) fn answered(
+        &mut self,
+        call: CallId,
+        result: Result<Outcome, Fault>,
+        cx: &mut Cx<'_>,
+    ) {
+        match self.sent.remove(&call) {
+            Some(Sent::Start(run, server)) => self.start_answered(run, server, result, cx),
+            Some(Sent::Stop(run)) => self.stop_answered(run, result, cx),
+            Some(Sent::Hold(server)) => self.hold_answered(server, call, result, cx),
+            Some(Sent::Pace(run)) => self.pace_answered(run, &result),
+            // A stray run that is still listed is told again.
+            Some(Sent::Stray) | None => {}
+        }
+    }
+
+    /// Takes in the whole registry.
+    pub(crate) fn servers_listed(&mut self, listings: Vec<Listing>, cx: &mut Cx<'_>) {
+        let named: Vec<Name> = listings.iter().map(|l| l.id.clone()).collect();
+        let missing: Vec<Name> = self
+            .fleet
+            .servers
+            .iter()
+            .filter(|s| s.listed && !named.contains(&s.listing.id))
+            .map(|s| s.listing.id.clone())
+            .collect();
+        for listing in listings {
+            self.server_listed(listing, cx);
+        }
+        for id in missing {
+            self.server_unlisted(&id);
+        }
+        self.recovery.listed = true;
+    }
+
+    /// Takes in one entry of the registry.
+    pub(crate) fn server_listed(&mut self, listing: Listing, cx: &mut Cx<'_>) {
+        self.place_due = true;
+        match self.fleet.find(&listing.id) {
+            Some(ix) if self.fleet.get(ix).listing.incarnation == listing.incarnation => {
+                self.update_listing(ix, listing, cx);
+            }
+            Some(ix) if self.fleet.get(ix).listing.incarnation > listing.incarnation => {}
+            Some(ix) => {
+                self.server_over(ix, "a newer incarnation is listed", cx);
+                self.fleet.add(listing, true);
+                self.commits.roster_due = true;
+            }
+            None => {
+                self.fleet.add(listing, true);
+                self.commits.roster_due = true;
+            }
+        }
+    }
+
+    fn update_listing(&mut self, ix: ServerIx, listing: Listing, cx: &mut Cx<'_>) {
+        let server = self.fleet.get_mut(ix);
+        let leaves = listing.draining && !server.listing.draining;
+        server.listing = listing;
+        server.listed = true;
+        if leaves {
+            let notice = Notice::ServerLeaving {
+                server: server.listing.id.clone(),
+                runs: server.runs.len() as u32,
+            };
+            cx.log(notice);
+        }
+    }
+
+    /// The registry's entry of a backend server is gone. What runs there goes
+    /// on while the server answers.
+    pub(crate) fn server_unlisted(&mut self, id: &Name) {
+        if let Some(ix) = self.fleet.find(id) {
+            self.fleet.get_mut(ix).listed = false;
+        }
+    }
+
+    /// An incarnation is over: nothing of it runs any more.
+    pub(crate) fn server_over(&mut self, ix: ServerIx, why: &str, cx: &mut Cx<'_>) {
+        if self.fleet.get(ix).standing == Standing::Gone {
+            return;
+        }
+        self.runs_over(ix, why, cx);
+        let server = self.fleet.get_mut(ix);
+        server.standing = Standing::Gone;
+        server.listed = false;
+        server.inherited = false;
+        self.strays.retain(|(server, _), _| *server != ix);
+        self.commits.roster_due = true;
+    }
+
+    /// Everything that ran on a backend server is over.
+    pub(crate) fn runs_over(&mut self, ix: ServerIx, why: &str, cx: &mut Cx<'_>) {
+        let server = self.fleet.get(ix);
+        let runs: Vec<RunRef> = server.runs.iter().copied().collect();
+        cx.log(Notice::ServerLost {
+            server: server.listing.id.clone(),
+            runs: runs.len() as u32,
+            why: why.into(),
+        });
+        for run in runs {
+            self.run_over(run, cx);
+        }
+    }
+
+    /// Jobs of each queue of which no task has started.
+    pub(crate) fn pending(&self) -> BTreeMap<Name, u32> {
+        let mut pending = BTreeMap::new();
+        for job in self.ledger.jobs.values() {
+            if job.stage == model::Stage::Queued && !job.cancelled {
+                *pending.entry(job.queue.clone()).or_insert(0) += 1;
+            }
+        }
+        pending
+    }
+
+    /// Marks a job's state row as to be written.
+    pub(crate) fn mark(&mut self, job: JobIx) {
+        if let Some(job) = self.ledger.jobs.get_mut(&job) {
+            job.dirty = true;
+            self.commits.due = true;
+        }
+    }
+
+    /// Periodic work.
+    pub(crate) fn tick(&mut self, cx: &mut Cx<'_>) {
+        self.hold_all(cx);
+        if cx.now() >= self.next_sweep {
+            self.next_sweep = cx.now() + SWEEP;
+            self.sweep_servers(cx);
+            self.retry_stops(cx);
+            self.tick_recovery(cx);
+        }
+        self.tick_advice(cx);
+    }
+
+    /// What follows from the events taken so far.
+    pub(crate) fn settle(&mut self, cx: &mut Cx<'_>) {
+        let now = cx.now();
+        if self.place_due || now >= self.next_place {
+            self.place_due = false;
+            self.next_place = now + PLACE_PERIOD;
+            self.place(cx);
+        }
+        self.hold_all(cx);
+        self.flush(cx);
+        self.follow_jobs(cx);
+    }
+
+    /// Runs that may exist on a server and are not being stopped.
+    pub(crate) fn is_stopping(&self, run: RunRef) -> bool {
+        self.ledger
+            .runs
+            .get(&run)
+            .is_some_and(|placed| placed.life == Life::Stopping)
+    }
+}
+
+/// Period of the checks that depend on time alone.
+const SWEEP: Duration = Duration::from_millis(50);
+/// Longest time between two placement passes: tickets and leases change with
+/// time alone.
+const PLACE_PERIOD: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/sched/src/recover.rs
@@ -0,0 +1,360 @@
+//! Rebuilding what an earlier owner knew: rows first, then the backend
+//! servers' lists.
+//!
+//! Invariant: while a backend server of the roster has not answered and may
+//! still run what an earlier owner ordered, no task starts that could be
+//! running there.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use model::{JobId, Name, Row};
+
+use crate::event::{CallId, Effect, Failure, Feed, Listing, Stored, Table, content};
+use crate::fleet::{ServerIx, Standing};
+use crate::ledger::{Job, JobIx};
+use crate::notice::Notice;
+use crate::owner::{Cx, Owner};
+use crate::rows::{self, JobKey, Record, Rostered, Submission};
+
+/// Rows read by one call.
+const PAGE: u32 = 500;
+/// Pause after a read that failed.
+const RETRY: Duration = Duration::from_millis(100);
+/// Longest wait for changes of the job table.
+const FOLLOW_WAIT: Duration = Duration::from_millis(5_000);
+
+/// A table that is read at the start of a term.
+#[derive(Debug, Default)]
+struct Reading {
+    rows: Vec<Row>,
+    call: Option<CallId>,
+    from: Name,
+    retry_at: Option<Duration>,
+    version: Option<u64>,
+    done: bool,
+}
+
+/// Progress of a takeover, and the following of the job table.
+#[derive(Debug, Default)]
+pub(crate) struct Recovery {
+    /// Jobs are known.
+    pub(crate) loaded: bool,
+    /// The registry was read.
+    pub(crate) listed: bool,
+    since: Duration,
+    readings: HashMap<&'static str, Reading>,
+    follow: Option<CallId>,
+    follow_at: Option<Duration>,
+    followed: u64,
+    /// When nothing ordered by an earlier owner can run any more.
+    unseen_until: Duration,
+    reported: bool,
+}
+
+impl Recovery {
+    pub(crate) fn new(since: Duration) -> Self {
+        Self {
+            since,
+            ..Self::default()
+        }
+    }
+}
+
+/// Tables read at the start of a term.
+const TABLES: [Table; 3] = [Table::Cell, Table::Job, Table::State];
+
+impl Owner {
+    /// Reads all rows.
+    pub(crate) fn read_rows(&mut self, cx: &mut Cx<'_>) {
+        let timing = &cx.settings.timing;
+        let longest = timing.validity + timing.lease.div_f64(timing.clock_rate);
+        self.recovery.unseen_until = cx.now() + longest;
+        for table in TABLES {
+            let reading = Reading::default();
+            self.recovery.readings.insert(table.prefix(), reading);
+            self.read_page(table, cx);
+        }
+    }
+
+    fn read_page(&mut self, table: Table, cx: &mut Cx<'_>) {
+        let call = cx.call();
+        let Some(reading) = self.recovery.readings.get_mut(table.prefix()) else {
+            return;
+        };
+        reading.call = Some(call);
+        reading.retry_at = None;
+        cx.out.push(Effect::Scan {
+            call,
+            table,
+            from: reading.from.clone(),
+            limit: PAGE,
+        });
+    }
+
+    /// Takes in a page. False when the call is not one of these.
+    pub(crate) fn page_read(
+        &mut self,
+        call: CallId,
+        result: &Result<Stored, Failure>,
+        cx: &mut Cx<'_>,
+    ) -> bool {
+        let readings = &self.recovery.readings;
+        let is_ours = |table: &Table| {
+            let reading = readings.get(table.prefix());
+            reading.is_some_and(|reading| reading.call == Some(call))
+        };
+        let Some(table) = TABLES.into_iter().find(is_ours) else {
+            return false;
+        };
+        let Some(reading) = self.recovery.readings.get_mut(table.prefix()) else {
+            return true;
+        };
+        reading.call = None;
+        let Ok(Stored::Rows {
+            rows,
+            more,
+            version,
+        }) = result
+        else {
+            reading.retry_at = Some(cx.now() + RETRY);
+            return true;
+        };
+        reading.version.get_or_insert(*version);
+        reading.rows.extend(rows.iter().cloned());
+        reading.done = !more;
+        if let Some(last) = rows.last().filter(|_| *more) {
+            let key = last.key.strip_prefix(table.prefix()).unwrap_or_default();
+            // The smallest key after the last one read.
+            reading.from = compact_str::format_compact!("{key}\u{0}");
+            self.read_page(table, cx);
+        }
+        if self.recovery.readings.values().all(|reading| reading.done) {
+            self.load(cx);
+        }
+        true
+    }
+
+    fn load(&mut self, cx: &mut Cx<'_>) {
+        let mut readings = std::mem::take(&mut self.recovery.readings);
+        let mut take = |table: Table| readings.remove(table.prefix()).unwrap_or_default();
+        let (cell, jobs, states) = (take(Table::Cell), take(Table::Job), take(Table::State));
+        self.recovery.followed = jobs.version.unwrap_or(0);
+        // A job that is read again after the start of the term was accepted
+        // during it.
+        let first = !self.recovery.loaded;
+        self.load_roster(&cell.rows, cx);
+        for row in &jobs.rows {
+            self.take_job_row(row, first, cx);
+        }
+        self.load_states(&states.rows, cx);
+        self.recovery.loaded = true;
+        self.recovery.follow_at = Some(cx.now());
+        self.place_due = true;
+        if first {
+            self.log_owner(self.recovery.since, cx);
+        }
+    }
+
+    fn load_roster(&mut self, rows: &[Row], cx: &mut Cx<'_>) {
+        let row = rows.iter().find(|row| row.key == rows::ROSTER);
+        let Some(bytes) = row.and_then(content) else {
+            return;
+        };
+        let Some(roster) = rows::decode::<Vec<Rostered>>(bytes) else {
+            cx.log(Notice::RowMalformed {
+                key: rows::ROSTER.into(),
+            });
+            return;
+        };
+        for entry in roster {
+            self.inherit_server(entry);
+        }
+    }
+
+    fn inherit_server(&mut self, entry: Rostered) {
+        let listed = self.fleet.find(&entry.id);
+        let same = |ix: &ServerIx| self.fleet.get(*ix).listing.incarnation == entry.incarnation;
+        let ix = match listed.filter(same) {
+            Some(ix) => ix,
+            // A newer incarnation is listed: this one is over.
+            None if listed.is_some() => return,
+            None => self.fleet.add(
+                Listing {
+                    id: entry.id,
+                    incarnation: entry.incarnation,
+                    address: entry.address,
+                    ..Listing::default()
+                },
+                false,
+            ),
+        };
+        let server = self.fleet.get_mut(ix);
+        server.inherited = true;
+        server.standing = Standing::Rostered;
+    }
+
+    fn load_states(&mut self, rows: &[Row], cx: &mut Cx<'_>) {
+        for row in rows {
+            let id = row.key.strip_prefix(Table::State.prefix());
+            let id = JobId::from(id.unwrap_or_default());
+            let record = content(row).and_then(|bytes| rows::decode::<Record>(bytes));
+            match (self.ledger.find(&id), record) {
+                (Some(ix), Some(record)) => self.restore(ix, row.cell.version, &record),
+                (None, Some(record)) if record.stage.is_final() => {
+                    let at = cx.now() + cx.settings.timing.keep_state;
+                    self.commits.expire(at, id);
+                }
+                (None, Some(_)) => {}
+                (_, None) if row.cell.value.is_empty() => {}
+                (_, None) => cx.log(Notice::RowMalformed {
+                    key: row.key.clone(),
+                }),
+            }
+        }
+    }
+
+    fn restore(&mut self, ix: JobIx, version: u64, record: &Record) {
+        let Some(job) = self.ledger.jobs.get_mut(&ix) else {
+            return;
+        };
+        job.restore(version, record);
+        if job.stage.is_final() {
+            self.mark(ix);
+        }
+    }
+
+    /// Takes in a row of the job table.
+    fn take_job_row(&mut self, row: &Row, inherited: bool, cx: &mut Cx<'_>) {
+        match (rows::parse_job_key(&row.key), content(row)) {
+            (Some(JobKey::Submission(id)), Some(bytes)) => {
+                if self.ledger.find(&id).is_some() {
+                    return;
+                }
+                match rows::decode::<Submission>(bytes) {
+                    Some(submission) => {
+                        let version = row.cell.version;
+                        let job = Job::new(id, version, submission, inherited, cx.now());
+                        self.ledger.insert(job);
+                        self.commits.gate_due |= version > cx.term.confirmed_version;
+                        self.place_due = true;
+                    }
+                    None => cx.log(Notice::RowMalformed {
+                        key: row.key.clone(),
+                    }),
+                }
+            }
+            (Some(JobKey::Cancel(id)), Some(_)) => self.cancel(&id, cx),
+            (Some(_), None) => {}
+            (None, _) => cx.log(Notice::RowMalformed {
+                key: row.key.clone(),
+            }),
+        }
+    }
+
+    fn cancel(&mut self, id: &JobId, cx: &mut Cx<'_>) {
+        let Some(ix) = self.ledger.find(id) else {
+            return;
+        };
+        if let Some(job) = self.ledger.jobs.get_mut(&ix) {
+            job.cancelled = true;
+            cx.log(Notice::Cancelled { job: id.clone() });
+            self.close(ix, model::Stage::Cancelled, cx);
+        }
+    }
+
+    /// Waits for changes of the job table, when that is due.
+    pub(crate) fn follow_jobs(&mut self, cx: &mut Cx<'_>) {
+        let due = self.recovery.follow_at.is_some_and(|at| cx.now() >= at);
+        if !due || self.recovery.follow.is_some() {
+            return;
+        }
+        let call = cx.call();
+        self.recovery.follow = Some(call);
+        self.recovery.follow_at = None;
+        cx.out.push(Effect::Follow {
+            call,
+            table: Table::Job,
+            after: self.recovery.followed,
+            wait: FOLLOW_WAIT,
+        });
+    }
+
+    /// Takes in changes of the job table. False when the call is not ours.
+    pub(crate) fn jobs_followed(
+        &mut self,
+        call: CallId,
+        result: &Result<Feed, Failure>,
+        cx: &mut Cx<'_>,
+    ) -> bool {
+        if self.recovery.follow.take_if(|f| *f == call).is_none() {
+            return false;
+        }
+        match result {
+            Ok(feed) => {
+                for row in &feed.rows {
+                    self.take_job_row(row, false, cx);
+                }
+                self.recovery.followed = self.recovery.followed.max(feed.version);
+                self.recovery.follow_at = Some(cx.now());
+            }
+            Err(Failure::HistoryLost) => self.reread_jobs(cx),
+            Err(_) => self.recovery.follow_at = Some(cx.now() + RETRY),
+        }
+        true
+    }
+
+    /// Reads the job table whole, since changes of it were missed.
+    fn reread_jobs(&mut self, cx: &mut Cx<'_>) {
+        let reading = Reading::default();
+        self.recovery.readings.insert(Table::Job.prefix(), reading);
+        self.read_page(Table::Job, cx);
+    }
+
+    /// Periodic work.
+    pub(crate) fn tick_recovery(&mut self, cx: &mut Cx<'_>) {
+        let now = cx.now();
+        let due = |table: &Table| {
+            let reading = self.recovery.readings.get(table.prefix());
+            reading.is_some_and(|r| r.retry_at.is_some_and(|at| now >= at))
+        };
+        let late: Vec<Table> = TABLES.into_iter().filter(due).collect();
+        for table in late {
+            self.read_page(table, cx);
+        }
+        self.settle_inheritance(cx);
+    }
+
+    /// Lets go of what an earlier owner may have started, once nothing of it
+    /// can run unseen.
+    fn settle_inheritance(&mut self, cx: &mut Cx<'_>) {
+        if !self.recovery.loaded || !self.recovery.listed {
+            return;
+        }
+        let unreached: Vec<ServerIx> = self.unreached().collect();
+        if !self.recovery.reported {
+            self.recovery.reported = true;
+            cx.log(Notice::Recovered {
+                epoch: cx.term.epoch(),
+                jobs: self.ledger.jobs.len() as u32,
+                servers: self.fleet.live().count() as u32,
+                unreached: unreached.len() as u32,
+            });
+        }
+        if cx.now() >= self.recovery.unseen_until {
+            for ix in unreached {
+                self.fleet.get_mut(ix).inherited = false;
+                self.place_due = true;
+            }
+        }
+    }
+
+    fn unreached(&self) -> impl Iterator<Item = ServerIx> + '_ {
+        self.fleet.live().filter(|ix| self.fleet.get(*ix).inherited)
+    }
+
+    /// True while tasks that an earlier owner ordered may run unseen.
+    pub(crate) fn may_run_unseen(&self) -> bool {
+        !self.recovery.loaded || self.unreached().next().is_some()
+    }
+}
--- /dev/null
+++ b/crates/sched/src/term.rs
@@ -0,0 +1,178 @@
+//! Who owns: following the owner, claiming its place, and staying valid.
+//!
+//! Invariant: an epoch is used for orders only after the transaction that
+//! took it was applied, and only for `validity` after the last write that was
+//! confirmed under it.
+
+use std::time::Duration;
+
+use model::{Epoch, Row};
+
+use crate::event::content;
+use crate::rows::{self, Beat, Owner};
+use crate::settings::Settings;
+
+/// Most random delay of a claim, so that VMs rarely race.
+const CLAIM_JITTER: Duration = Duration::from_millis(400);
+
+/// What this VM is to the cell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// Follows the owner.
+    Following,
+    /// Has a claim under way.
+    Claiming,
+    /// Owns.
+    Owning,
+}
+
+/// Knowledge of the ownership.
+#[derive(Debug)]
+pub(crate) struct Term {
+    pub(crate) standing: Standing,
+    /// The owner row as last seen.
+    pub(crate) owner: Owner,
+    /// Its version; zero when there is none.
+    pub(crate) owner_version: u64,
+    /// The owner's sign of life as last seen.
+    pub(crate) beat: Beat,
+    beat_version: u64,
+    /// When the owner's sign of life last changed, or contact with the table
+    /// service was regained; `None` before the rows were read.
+    changed_at: Option<Duration>,
+    /// When the rows were last known to be current.
+    pub(crate) current_at: Duration,
+    /// When the last write confirmed under this term was sent.
+    pub(crate) confirmed_at: Duration,
+    /// Version of that write.
+    pub(crate) confirmed_version: u64,
+    jitter: Duration,
+}
+
+impl Term {
+    /// A VM that knows nothing yet.
+    pub(crate) fn new(rng: &mut fastrand::Rng) -> Self {
+        Self {
+            standing: Standing::Following,
+            owner: Owner::default(),
+            owner_version: 0,
+            beat: Beat::default(),
+            beat_version: 0,
+            changed_at: None,
+            current_at: Duration::ZERO,
+            confirmed_at: Duration::ZERO,
+            confirmed_version: 0,
+            jitter: CLAIM_JITTER.mul_f64(rng.f64()),
+        }
+    }
+
+    /// True when this VM owns.
+    pub(crate) fn is_owning(&self) -> bool {
+        self.standing == Standing::Owning
+    }
+
+    /// Epoch of this VM's term; only of use while it owns.
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.owner.epoch
+    }
+
+    /// True while orders may be sent.
+    pub(crate) fn is_valid(&self, settings: &Settings, now: Duration) -> bool {
+        self.is_owning() && now < self.confirmed_at + settings.timing.validity
+    }
+
+    /// True while no other VM can have claimed yet.
+    pub(crate) fn is_fresh(&self, settings: &Settings, now: Duration) -> bool {
+        self.is_owning() && now < self.confirmed_at + settings.timing.fresh
+    }
+
+    /// Records a write that was confirmed under this term.
+    pub(crate) fn confirm(&mut self, sent: Duration, version: u64) {
+        self.confirmed_at = self.confirmed_at.max(sent);
+        self.confirmed_version = self.confirmed_version.max(version);
+    }
+
+    /// Takes in a row of the cell table; true when the owner changed.
+    pub(crate) fn learn(&mut self, row: &Row, now: Duration) -> Option<bool> {
+        match (row.key.as_str(), content(row)) {
+            (rows::OWNER, Some(bytes)) => {
+                let owner: Owner = rows::decode(bytes)?;
+                let changed = row.cell.version > self.owner_version;
+                if changed {
+                    self.owner = owner;
+                    self.owner_version = row.cell.version;
+                    self.changed_at = Some(now);
+                }
+                Some(changed)
+            }
+            (rows::BEAT, Some(bytes)) => {
+                let beat: Beat = rows::decode(bytes)?;
+                if row.cell.version > self.beat_version {
+                    self.beat = beat;
+                    self.beat_version = row.cell.version;
+                    self.changed_at = Some(now);
+                }
+                Some(false)
+            }
+            _ => Some(false),
+        }
+    }
+
+    /// The rows were current at `now`.
+    pub(crate) fn current(&mut self, now: Duration) {
+        self.current_at = now;
+        self.changed_at.get_or_insert(now);
+    }
+
+    /// Contact with the table service was lost: the owner gets its whole time
+    /// again once contact is back, for it may have been cut off just the same.
+    pub(crate) fn lost_contact(&mut self) {
+        self.changed_at = None;
+    }
+
+    /// Time for which the owner has been silent while the rows were current.
+    pub(crate) fn silence(&self) -> Duration {
+        self.changed_at
+            .map_or(Duration::ZERO, |at| self.current_at.saturating_sub(at))
+    }
+
+    /// True when this VM should claim now.
+    pub(crate) fn should_claim(&self, settings: &Settings) -> bool {
+        let same_vm = self.owner.name == settings.name;
+        let restarted = same_vm && self.owner.process != settings.process;
+        match self.changed_at {
+            Some(_) if self.standing != Standing::Following => false,
+            Some(_) if self.owner_version == 0 || restarted => true,
+            Some(_) if self.owner.released => self.silence() >= self.jitter / 8,
+            Some(_) => self.silence() >= settings.timing.silence + self.jitter,
+            None => false,
+        }
+    }
+
+    /// The owner row that a claim writes.
+    pub(crate) fn next_owner(&self, settings: &Settings) -> Owner {
+        Owner {
+            epoch: self.owner.epoch + 1,
+            name: settings.name.clone(),
+            process: settings.process,
+            address: settings.address.clone(),
+            released: false,
+        }
+    }
+
+    /// This VM's claim was applied.
+    pub(crate) fn won(&mut self, owner: Owner, version: u64, sent: Duration) {
+        self.standing = Standing::Owning;
+        self.owner = owner;
+        self.owner_version = version;
+        self.beat_version = version;
+        self.confirmed_at = sent;
+        self.confirmed_version = version;
+    }
+
+    /// This VM does not own, or not any more. What it knows is read anew.
+    pub(crate) fn follow(&mut self) {
+        self.standing = Standing::Following;
+        self.changed_at = None;
+    }
+}
