Count a task's failed runs by their numbers

Cause: an end is acknowledged after what it means was committed; an owner that dies in between leaves it on the list, and its successor counted the failure a second time. Change: the state row keeps the numbers of failed runs, so a repeated end is recognised; the same rule covers gangs. Conclusion: ends have to be idempotent, since acknowledgement follows commit.

--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -160,22 +160,18 @@
             true => task.step.task(0),
             false => task,
         };
-        let state = self.ledger.step_mut(task.step);
-        let repeated = state.is_some_and(|state| {
-            let repeated = gang && state.failed_gang == run.number;
-            state.failed_gang = run.number;
-            repeated
-        });
-        if repeated || long_running {
-            self.broke_gang(run, cx);
-            return;
+        if long_running {
+            return; // Started again.
         }
         let Some(entry) = self.ledger.task_mut(counted) else {
             return;
         };
-        entry.failures += 1;
         entry.avoid = Some(server);
-        let failures = entry.failures;
+        // Members of a gang fail together, and an end may be listed twice.
+        if !entry.failures.contains(&run.number) {
+            entry.failures.push(run.number);
+        }
+        let failures = entry.failures.len() as u32;
         match failures >= self.max_attempts(task.step.job, cx) {
             true => self.close(task.step.job, Stage::Failed, cx),
             false => self.broke_gang(run, cx),
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -96,7 +96,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
     pub(crate) done: bool,
-    pub(crate) failures: u32,
+    /// Numbers of its failed runs; an end may be listed again to a later owner.
+    pub(crate) failures: Vec<Attempt>,
     pub(crate) checkpoint: Name,
     /// Numbers of its runs that may exist.
     pub(crate) runs: Vec<Attempt>,
@@ -139,8 +140,6 @@
     /// When its predecessors were completed.
     pub(crate) ready_since: Option<Duration>,
     pub(crate) grant: Grant,
-    /// Number of the last gang run that counted as a failure.
-    pub(crate) failed_gang: Attempt,
 }
 
 impl StepState {
@@ -235,7 +234,7 @@
         }
         for (index, failures) in &saved.failures {
             if let Some(task) = state.tasks.get_mut(*index as usize) {
-                task.failures = *failures;
+                task.failures.clone_from(failures);
             }
         }
         for (index, checkpoint) in &saved.checkpoints {
@@ -304,8 +303,8 @@
             saved.set_done(index);
             continue;
         }
-        if task.failures > 0 {
-            saved.failures.push((index, task.failures));
+        if !task.failures.is_empty() {
+            saved.failures.push((index, task.failures.clone()));
         }
         if !task.checkpoint.is_empty() {
             saved.checkpoints.push((index, task.checkpoint.clone()));
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use compact_str::format_compact;
-use model::{Epoch, Graph, JobId, Name, Occurrence, Stage, StepIndex, TaskIndex};
+use model::{Attempt, Epoch, Graph, JobId, Name, Occurrence, Stage, StepIndex, TaskIndex};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -75,8 +75,8 @@
 pub(crate) struct StepRecord {
     /// Bits of the completed tasks.
     pub(crate) done: Vec<u8>,
-    /// Failed runs of tasks that have any.
-    pub(crate) failures: Vec<(TaskIndex, u32)>,
+    /// Numbers of the failed runs of tasks that have any.
+    pub(crate) failures: Vec<(TaskIndex, Vec<Attempt>)>,
     /// Checkpoints of tasks that have any.
     pub(crate) checkpoints: Vec<(TaskIndex, Name)>,
 }
