Schedules of graph schedulers; count what may run unseen; keep ended jobs until all is seen

Change: a listed task opens its occurrence; an ended job keeps its row until every backend server of the roster has answered; what unreached servers can hold counts against every team's limit (the roster row says their capacity). Conclusion: a successor must account for work of jobs that are over.

--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -160,6 +160,7 @@
                 id: listing.id.clone(),
                 incarnation: listing.incarnation,
                 address: listing.address.clone(),
+                capacity: listing.capacity,
             }
         };
         let roster: Vec<Rostered> = live.iter().map(entry).collect();
@@ -177,6 +178,7 @@
             .filter(|(_, job)| job.dirty)
             .map(|(ix, _)| *ix)
             .collect();
+        let unseen = self.may_run_unseen();
         let mut jobs = Vec::new();
         for ix in &dirty {
             let entries = transaction.conditions.len() + transaction.writes.len();
@@ -195,7 +197,7 @@
             });
             let record = rows::encode(&job.record());
             transaction.writes.push(put(key, record));
-            let last = job.stage.is_final() && over;
+            let last = job.stage.is_final() && over && !(job.inherited && unseen);
             if last {
                 transaction.writes.push(remove(rows::job_key(&job.id)));
                 if job.cancelled {
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -377,15 +377,19 @@
         self.step_mut(task.step)?.tasks.get_mut(task.index as usize)
     }
 
-    /// The task that a name means.
-    pub(crate) fn resolve(&self, name: &TaskName) -> Option<TaskRef> {
+    /// The task that a name means. A backend server may know a task of an
+    /// occurrence that this owner has not opened yet.
+    pub(crate) fn resolve(&mut self, name: &TaskName) -> Option<TaskRef> {
         let step = StepRef {
             job: self.find(&name.job)?,
             occurrence: name.occurrence,
             step: name.step,
         };
-        let task = step.task(name.index);
-        self.task(task).map(|_| task)
+        let job = self.jobs.get_mut(&step.job)?;
+        let spec = job.graph.steps.get(name.step as usize)?;
+        let exists = name.index < spec.tasks && name.occurrence < job.graph.occurrences();
+        exists.then(|| job.open(name.occurrence))?;
+        Some(step.task(name.index))
     }
 
     /// The name of a run.
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -172,6 +172,7 @@
         };
         cx.log(notice);
         self.place_due = true;
+        self.all_seen();
     }
 
     fn take_listed_end(&mut self, ix: ServerIx, finished: &Finished, cx: &mut Cx<'_>) {
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -209,6 +209,7 @@
         server.standing = Standing::Gone;
         server.listed = false;
         server.inherited = false;
+        self.all_seen();
         self.strays.retain(|(server, _), _| *server != ix);
         self.commits.roster_due = true;
     }
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -85,8 +85,10 @@
             if job.stage.is_final() {
                 continue;
             }
-            let next = job.rounds.last_key_value().map_or(0, |(last, _)| last + 1);
-            for occurrence in next..job.graph.occurrences() {
+            // Occurrences come in order, except after a takeover.
+            let opened = job.rounds.len() as u32;
+            let next = (0..opened).find(|n| !job.rounds.contains_key(n));
+            for occurrence in next.unwrap_or(opened)..job.graph.occurrences() {
                 let due = job.graph.recurrence.map(|r| r.due(occurrence));
                 if due.is_some_and(|due| cx.time.unix + early < due) {
                     break;
@@ -288,11 +290,12 @@
             return Vec::new(); // Members of the last run are not over yet.
         }
         let limit = cx.config.team(team).map_or(Resources::ZERO, |t| t.limit);
+        let unseen = self.unseen();
         let fits = |count: usize| {
-            let more = spec.each.times(count as u32);
+            let more = spec.each.times(count as u32).plus(unseen);
             self.accounts.allows(team, &limit, more)
         };
-        let idle = self.accounts.used(team).is_zero();
+        let idle = self.accounts.used(team).is_zero() && unseen.is_zero();
         let allowed = match spec.gang {
             true if fits(waiting.len()) || idle => waiting.len(),
             true => 0,
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use model::{JobId, Name, Row};
+use model::{JobId, Name, Resources, Row};
 
 use crate::event::{CallId, Effect, Failure, Feed, Listing, Stored, Table, content};
 use crate::fleet::{ServerIx, Standing};
@@ -184,6 +184,7 @@
                     id: entry.id,
                     incarnation: entry.incarnation,
                     address: entry.address,
+                    capacity: entry.capacity,
                     ..Listing::default()
                 },
                 false,
@@ -344,8 +345,26 @@
         if cx.now() >= self.recovery.unseen_until {
             for ix in unreached {
                 self.fleet.get_mut(ix).inherited = false;
-                self.place_due = true;
             }
+            self.all_seen();
+        }
+    }
+
+    /// Once nothing can run unseen, jobs that had ended before need no row any
+    /// more.
+    pub(crate) fn all_seen(&mut self) {
+        if self.may_run_unseen() {
+            return;
+        }
+        self.place_due = true;
+        let ended = self
+            .ledger
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.inherited && job.stage.is_final());
+        let ended: Vec<JobIx> = ended.map(|(ix, _)| *ix).collect();
+        for ix in ended {
+            self.mark(ix);
         }
     }
 
@@ -353,6 +372,14 @@
         self.fleet.live().filter(|ix| self.fleet.get(*ix).inherited)
     }
 
+    /// Most that any team may have running unseen.
+    pub(crate) fn unseen(&self) -> Resources {
+        let capacities = self
+            .unreached()
+            .map(|ix| self.fleet.get(ix).listing.capacity);
+        capacities.fold(Resources::ZERO, Resources::plus)
+    }
+
     /// True while tasks that an earlier owner ordered may run unseen.
     pub(crate) fn may_run_unseen(&self) -> bool {
         !self.recovery.loaded || self.unreached().next().is_some()
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use compact_str::format_compact;
-use model::{Attempt, Epoch, Graph, JobId, Name, Occurrence, Stage, StepIndex, TaskIndex};
+use model::{
+    Attempt, Epoch, Graph, JobId, Name, Occurrence, Resources, Stage, StepIndex, TaskIndex,
+};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -55,6 +57,8 @@
     pub(crate) incarnation: u64,
     /// Address.
     pub(crate) address: Name,
+    /// Resources; what may run there unseen counts against every team.
+    pub(crate) capacity: Resources,
 }
 
 /// A job that is not final.
--- /dev/null
+++ b/crates/standin/src/graphs/checks.rs
@@ -0,0 +1,306 @@
+//! Promises about graph jobs, checked from what backend servers run and what
+//! callers were told.
+//!
+//! Invariant: a check looks at the truth of the stand-ins only, never at what
+//! a scheduler believes.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use model::{Attempt, End, JobId, Name, Resources, Run, Stage, TaskName};
+
+use crate::graphs::callers::{Clients, Shape};
+use crate::graphs::server::{Happening, Server};
+
+/// Failed runs after which a task is given up, in every queue.
+pub(crate) const MAX_ATTEMPTS: u32 = 3;
+/// Limit of each team in thousandths of a core.
+pub(crate) const TEAM_LIMIT: u32 = 24_000;
+/// Time after the acknowledgement of a cancellation in which tasks may start.
+const CANCEL_TIME: Duration = Duration::from_secs(3);
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Broken {
+    /// Two runs of a task at once.
+    #[error("{0}: two runs at once")]
+    Twice(String),
+    /// A start after an acknowledged completion.
+    #[error("{0}: started after its completion was acknowledged")]
+    Again(String),
+    /// A backend server holds more than it has.
+    #[error("{0}: more than its capacity")]
+    Room(Name),
+    /// A start before its predecessors were completed.
+    #[error("{0}: started before its predecessors were completed")]
+    Order(String),
+    /// A team has more running than its limit.
+    #[error("{0}: above its limit")]
+    Limit(Name),
+    /// A start after the attempts of the task were used up.
+    #[error("{0}: started after all its attempts")]
+    Budget(String),
+    /// A start after the job was cancelled.
+    #[error("{0}: started after it was cancelled")]
+    Cancelled(String),
+    /// A start of a job that was refused.
+    #[error("{0}: started though refused")]
+    Refused(String),
+    /// A start on a backend server that the outside policy did not allow.
+    #[error("{0}: started where the policy did not allow it")]
+    NotAllowed(String),
+    /// A state that is not true.
+    #[error("{0}: shown as {1:?}, which is not true")]
+    State(JobId, Stage),
+    /// An accepted job that did not come to its end.
+    #[error("{0}: accepted, and not at its end: shown {1:?}")]
+    Unfinished(JobId, Option<Stage>),
+    /// A long-running task that does not run.
+    #[error("{0}: accepted, and its tasks do not run")]
+    Away(JobId),
+    /// The scheduler's books do not match.
+    #[error("books: {0}")]
+    Books(String),
+}
+
+/// What truly happened.
+#[derive(Debug, Default)]
+pub(crate) struct Truth {
+    completed: HashSet<TaskName>,
+    acknowledged: HashSet<TaskName>,
+    /// Completed runs that are not acknowledged yet.
+    completed_runs: HashMap<TaskName, HashSet<Attempt>>,
+    /// Completed runs after which the task was started again: their ends must
+    /// never be acknowledged.
+    restarted: HashSet<Run>,
+    failed: HashMap<TaskName, HashSet<Attempt>>,
+    failed_acknowledged: HashMap<TaskName, HashSet<Attempt>>,
+    pub(crate) starts: u64,
+}
+
+fn text(task: &TaskName) -> String {
+    format!(
+        "{}.{}.{}.{}",
+        task.job, task.occurrence, task.step, task.index
+    )
+}
+
+/// Whether the outside policy allows a step on a backend server.
+pub(crate) fn allows(job: &str, server: &str) -> bool {
+    let sum: u32 = job.bytes().chain(server.bytes()).map(u32::from).sum();
+    sum % 3 != 0
+}
+
+impl Truth {
+    /// Takes in what happened on a backend server.
+    pub(crate) fn note(
+        &mut self,
+        at: usize,
+        happening: &Happening,
+        servers: &[Server],
+        clients: &Clients,
+        now: Duration,
+        broken: &mut Vec<Broken>,
+    ) {
+        match happening {
+            Happening::Started(run) => self.started(at, run, servers, clients, now, broken),
+            Happening::Ended(run, end) => self.ended(run, *end, clients),
+            Happening::Acknowledged(run, end) => self.acknowledged(run, *end, broken),
+        }
+    }
+
+    fn started(
+        &mut self,
+        at: usize,
+        run: &Run,
+        servers: &[Server],
+        clients: &Clients,
+        now: Duration,
+        broken: &mut Vec<Broken>,
+    ) {
+        self.starts += 1;
+        let task = &run.task;
+        let name = || text(task);
+        let copies = servers.iter().filter(|s| s.up && s.live.contains_key(task));
+        if copies.count() > 1 {
+            broken.push(Broken::Twice(name()));
+        }
+        if self.acknowledged.contains(task) {
+            broken.push(Broken::Again(name()));
+        }
+        let ended = self.completed_runs.get(task).into_iter().flatten();
+        self.restarted.extend(ended.map(|number| Run {
+            task: task.clone(),
+            number: *number,
+        }));
+        let used_up = self.failed_acknowledged.get(task).map_or(0, HashSet::len);
+        let Some(client) = clients.get(&task.job) else {
+            broken.push(Broken::Refused(name()));
+            return;
+        };
+        if used_up as u32 >= MAX_ATTEMPTS && client.shape != Shape::Service {
+            broken.push(Broken::Budget(name()));
+        }
+        if client.refused && client.accepted.is_none() && !client.asked_unknown {
+            broken.push(Broken::Refused(name()));
+        }
+        if client.cancelled.is_some_and(|at| now > at + CANCEL_TIME) {
+            broken.push(Broken::Cancelled(name()));
+        }
+        if client.queue == "gangs" && !allows(&task.job, &servers[at].id) {
+            broken.push(Broken::NotAllowed(name()));
+        }
+        let steps = &client.graph.steps;
+        let before = steps.get(task.step as usize).map(|step| step.after.clone());
+        for step in before.into_iter().flatten() {
+            let tasks = 0..steps[step as usize].tasks;
+            let done = |index| {
+                self.completed.contains(&TaskName {
+                    step,
+                    index,
+                    ..task.clone()
+                })
+            };
+            if !tasks.into_iter().all(done) {
+                broken.push(Broken::Order(name()));
+            }
+        }
+        check_room(&servers[at], clients, broken);
+        check_limit(&client.team, servers, clients, broken);
+    }
+
+    fn ended(&mut self, run: &Run, end: End, clients: &Clients) {
+        let task = &run.task;
+        match end {
+            End::Completed => {
+                let runs = self.completed_runs.entry(task.clone()).or_default();
+                runs.insert(run.number);
+                let gang = clients
+                    .get(&task.job)
+                    .is_some_and(|c| c.shape == Shape::Gang);
+                let members = match gang {
+                    true => clients[&task.job].graph.steps[task.step as usize].tasks,
+                    false => 1,
+                };
+                for member in 0..members {
+                    let index = if gang { member } else { task.index };
+                    let member = TaskName {
+                        index,
+                        ..task.clone()
+                    };
+                    self.completed.insert(member);
+                }
+            }
+            End::Failed => {
+                let runs = self.failed.entry(task.clone()).or_default();
+                runs.insert(run.number);
+            }
+            End::Stopped | End::Lapsed | End::Broken | End::Alone => {}
+        }
+    }
+
+    fn acknowledged(&mut self, run: &Run, end: End, broken: &mut Vec<Broken>) {
+        match end {
+            End::Completed => {
+                if self.restarted.contains(run) {
+                    broken.push(Broken::Again(text(&run.task)));
+                }
+                self.acknowledged.insert(run.task.clone());
+            }
+            End::Failed => {
+                let runs = self.failed_acknowledged.entry(run.task.clone());
+                runs.or_default().insert(run.number);
+            }
+            End::Stopped | End::Lapsed | End::Broken | End::Alone => {}
+        }
+    }
+
+    /// Checks a state that a caller was shown.
+    pub(crate) fn shown(&self, id: &JobId, stage: Stage, clients: &Clients) -> Option<Broken> {
+        let client = clients.get(id)?;
+        let true_state = match stage {
+            Stage::Queued | Stage::Running => true,
+            Stage::Completed => self.is_completed(id, clients),
+            Stage::Failed => self.has_failed(id),
+            Stage::Cancelled => client.cancel_asked,
+        };
+        (!true_state).then(|| Broken::State(id.clone(), stage))
+    }
+
+    fn is_completed(&self, id: &JobId, clients: &Clients) -> bool {
+        let steps = clients[id].graph.steps.iter().enumerate();
+        let mut tasks = steps.flat_map(|(step, spec)| {
+            (0..spec.tasks).map(move |index| TaskName {
+                job: id.clone(),
+                occurrence: 0,
+                step: step as u32,
+                index,
+            })
+        });
+        tasks.all(|task| self.completed.contains(&task))
+    }
+
+    fn has_failed(&self, id: &JobId) -> bool {
+        let mut failed = self.failed.iter().filter(|(task, _)| task.job == *id);
+        failed.any(|(_, runs)| runs.len() as u32 >= MAX_ATTEMPTS)
+    }
+
+    /// Checks that every accepted job came to its end.
+    pub(crate) fn settle(&self, clients: &Clients, servers: &[Server]) -> Vec<Broken> {
+        let mut broken = Vec::new();
+        for client in clients.values().filter(|client| client.accepted.is_some()) {
+            let runs = |step: usize| {
+                let tasks = 0..client.graph.steps[step].tasks;
+                tasks.into_iter().all(|index| {
+                    servers.iter().any(|server| {
+                        server.up
+                            && server.live.contains_key(&TaskName {
+                                job: client.id.clone(),
+                                occurrence: 0,
+                                step: step as u32,
+                                index,
+                            })
+                    })
+                })
+            };
+            let serves = client.shape == Shape::Service && client.cancelled.is_none();
+            match client.shown {
+                Some(stage) if stage.is_final() => {}
+                _ if serves && runs(0) => {}
+                _ if serves => broken.push(Broken::Away(client.id.clone())),
+                shown => broken.push(Broken::Unfinished(client.id.clone(), shown)),
+            }
+        }
+        broken
+    }
+}
+
+fn check_room(server: &Server, clients: &Clients, broken: &mut Vec<Broken>) {
+    let used = used_by(server, clients, |_| true);
+    if !used.fits(&server.capacity) {
+        broken.push(Broken::Room(server.id.clone()));
+    }
+}
+
+fn check_limit(team: &Name, servers: &[Server], clients: &Clients, broken: &mut Vec<Broken>) {
+    let up = servers.iter().filter(|server| server.up);
+    let used = up.fold(Resources::ZERO, |sum, server| {
+        sum.plus(used_by(server, clients, |other| other == team))
+    });
+    if used.millicpus > TEAM_LIMIT {
+        broken.push(Broken::Limit(team.clone()));
+    }
+}
+
+fn used_by<F>(server: &Server, clients: &Clients, counts: F) -> Resources
+where
+    F: Fn(&Name) -> bool,
+{
+    let each = |task: &TaskName| {
+        let client = clients.get(&task.job).filter(|c| counts(&c.team))?;
+        let step = client.graph.steps.get(task.step as usize)?;
+        Some(step.each)
+    };
+    let tasks = server.live.keys().filter_map(each);
+    tasks.fold(Resources::ZERO, Resources::plus)
+}
--- /dev/null
+++ b/crates/standin/src/graphs/store.rs
@@ -0,0 +1,131 @@
+//! The table service, with its history.
+//!
+//! Invariant: a transaction is applied whole or not at all, and every change
+//! has a version of its own.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use model::{Cell, Name, Row, Transaction};
+use sched::{CallId, Failure, Feed, Stored, Table};
+
+/// A call that waits for changes.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    pub(crate) vm: usize,
+    pub(crate) process: u64,
+    pub(crate) call: CallId,
+    pub(crate) table: Table,
+    pub(crate) after: u64,
+    pub(crate) until: Duration,
+}
+
+/// Rows and their history.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    rows: BTreeMap<Name, Cell>,
+    log: Vec<(u64, Name, Option<Bytes>)>,
+    version: u64,
+    /// Changes up to this version are no longer known.
+    forgotten: u64,
+    pub(crate) waiters: Vec<Waiter>,
+}
+
+impl Store {
+    /// Applies a transaction.
+    pub(crate) fn commit(&mut self, transaction: &Transaction) -> Result<Stored, Failure> {
+        let version_of = |key: &Name| self.rows.get(key).map_or(0, |cell| cell.version);
+        let holds = transaction
+            .conditions
+            .iter()
+            .all(|condition| version_of(&condition.key) == condition.version);
+        if !holds {
+            let rows = transaction.conditions.iter().filter_map(|condition| {
+                let cell = self.rows.get(&condition.key)?.clone();
+                let key = condition.key.clone();
+                Some(Row { key, cell })
+            });
+            return Err(Failure::Conflict(rows.collect()));
+        }
+        self.version += 1;
+        let version = self.version;
+        for write in &transaction.writes {
+            match &write.value {
+                Some(value) => {
+                    let value = value.clone();
+                    self.rows.insert(write.key.clone(), Cell { version, value });
+                }
+                None => drop(self.rows.remove(&write.key)),
+            }
+            let entry = (version, write.key.clone(), write.value.clone());
+            self.log.push(entry);
+        }
+        Ok(Stored::Applied(version))
+    }
+
+    /// Reads rows of a table.
+    pub(crate) fn scan(&self, table: Table, from: &str, limit: u32) -> Stored {
+        let prefix = table.prefix();
+        let start = compact_str::format_compact!("{prefix}{from}");
+        let within = self
+            .rows
+            .range(start..)
+            .take_while(|(key, _)| key.starts_with(prefix));
+        let mut rows: Vec<Row> = within
+            .take(limit as usize + 1)
+            .map(|(key, cell)| Row {
+                key: key.clone(),
+                cell: cell.clone(),
+            })
+            .collect();
+        let more = rows.len() > limit as usize;
+        rows.truncate(limit as usize);
+        Stored::Rows {
+            rows,
+            more,
+            version: self.version,
+        }
+    }
+
+    /// Changes of a table after a version; `None` when there are none yet.
+    pub(crate) fn changes(&self, table: Table, after: u64) -> Option<Result<Feed, Failure>> {
+        if after < self.forgotten {
+            return Some(Err(Failure::HistoryLost));
+        }
+        let start = self
+            .log
+            .partition_point(|(version, _, _)| *version <= after);
+        let rows: Vec<Row> = self.log[start..]
+            .iter()
+            .filter(|(_, key, _)| key.starts_with(table.prefix()))
+            .map(|(version, key, value)| Row {
+                key: key.clone(),
+                cell: Cell {
+                    version: value.as_ref().map_or(0, |_| *version),
+                    value: value.clone().unwrap_or_default(),
+                },
+            })
+            .collect();
+        (!rows.is_empty()).then_some(Ok(self.feed(rows)))
+    }
+
+    /// The answer to a call whose wait is over.
+    pub(crate) fn nothing(&self) -> Feed {
+        self.feed(Vec::new())
+    }
+
+    fn feed(&self, rows: Vec<Row>) -> Feed {
+        Feed {
+            rows,
+            version: self.version,
+            sent: Duration::ZERO,
+        }
+    }
+
+    /// Drops the history.
+    pub(crate) fn forget_history(&mut self) {
+        self.forgotten = self.version;
+        self.log.clear();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/graphs/world.rs
@@ -0,0 +1,978 @@
+//! Simulated time: entry VMs, their calls, and what answers them.
+//!
+//! Invariant: an answer to a call of a process that was killed is dropped.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::time::Duration;
+
+use compact_str::format_compact;
+use model::{End, JobId, Name, Resources, Stage, TaskName, Transaction, key};
+use sched::{
+    Admission, Advice, Ask, CallId, CallerId, Config, Effect, Errand, Event, Failure, Listing,
+    Node, Order, Question, Queue, Reply, Service, Settings, Stored, Team, Time, Timing,
+};
+
+use crate::graphs::callers::{Client, Clients, Shape};
+use crate::graphs::checks::{self, Broken, MAX_ATTEMPTS, TEAM_LIMIT, Truth};
+use crate::graphs::faults::Fault;
+use crate::graphs::server::{Happening, Server};
+use crate::graphs::store::{Store, Waiter};
+
+/// Entry VMs.
+const VMS: usize = 3;
+/// Backend servers.
+const SERVERS: usize = 9;
+/// One way between any two.
+const HOP: Duration = Duration::from_millis(1);
+/// Time of a transaction.
+const COMMIT: Duration = Duration::from_millis(6);
+/// Period of ticks.
+const TICK: Duration = Duration::from_millis(20);
+/// Lag of the registry.
+const REGISTRY_LAG: Duration = Duration::from_millis(300);
+/// Time after which a call without an answer counts as lost.
+const TIMEOUT: Duration = Duration::from_millis(700);
+/// Period at which a caller asks for the state of its jobs.
+const ASK_PERIOD: Duration = Duration::from_millis(700);
+/// When the callers stop handing in jobs.
+const LAST_JOB: Duration = Duration::from_secs(14);
+/// Time left after that for everything to end.
+const CALM: Duration = Duration::from_secs(26);
+
+/// What a caller's call was about.
+#[derive(Clone, Debug)]
+enum Call {
+    Submit(JobId),
+    State(JobId),
+    Cancel(JobId),
+}
+
+/// Something that happens at a time.
+#[derive(Debug)]
+enum Action {
+    Deliver(usize, u64, Box<Event>),
+    Tick(usize, u64),
+    Apply(usize, u64, CallId, Transaction),
+    Order(usize, u64, CallId, usize, u64, Box<Order>),
+    Answer(usize, u64, CallId, usize, u64),
+    Hand(u64),
+    Send(Call),
+    Begin(Fault),
+    End(Fault),
+    Registry(usize),
+    Offer(usize, u64, CallerId),
+}
+
+/// One entry VM.
+struct Vm {
+    node: Node,
+    process: u64,
+    up: bool,
+    frozen: bool,
+    stopping: bool,
+    watches: bool,
+    callers: HashMap<CallerId, Call>,
+    offers: HashMap<CallerId, usize>,
+}
+
+/// What a schedule ended with.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Broken promises, in the order found.
+    pub broken: Vec<(Duration, Broken)>,
+    /// Jobs accepted.
+    pub accepted: u32,
+    /// Jobs completed.
+    pub completed: u32,
+    /// Starts of tasks.
+    pub starts: u64,
+    /// Longest time in which no VM owned.
+    pub ownerless: Duration,
+}
+
+/// The simulated world.
+pub struct World {
+    now: Duration,
+    rng: fastrand::Rng,
+    seq: u64,
+    actions: BTreeMap<u64, Action>,
+    agenda: BinaryHeap<Reverse<(Duration, u64)>>,
+    vms: Vec<Vm>,
+    store: Store,
+    servers: Vec<Server>,
+    clients: Clients,
+    truth: Truth,
+    faults: Vec<Fault>,
+    /// The VM that was the owner when a fault on the owner began.
+    struck: usize,
+    next_caller: CallerId,
+    report: Report,
+    owned_at: Duration,
+    trace: bool,
+}
+
+fn settings(vm: usize, process: u64) -> Settings {
+    Settings {
+        name: format_compact!("vm-{vm}"),
+        process,
+        address: format_compact!("{vm}"),
+        remote_factor: 2.0,
+        timing: Timing::default(),
+    }
+}
+
+fn config() -> Config {
+    let queue = |name: &str, admission| Queue {
+        name: name.into(),
+        host: "host".into(),
+        prefix: format_compact!("/{name}/"),
+        service: "service".into(),
+        open: false,
+        priority: 1,
+        max_attempts: MAX_ATTEMPTS,
+        slack: 2.0,
+        latency_target: Duration::from_millis(500),
+        admission,
+    };
+    let team = |name: &str| Team {
+        name: name.into(),
+        keys: vec![key::hash(name)],
+        share: 1,
+        limit: Resources::of(TEAM_LIMIT, 0, 0, 0),
+    };
+    let admission = Admission {
+        fixed: Duration::from_millis(40),
+        per_server: Duration::from_millis(1),
+        valid: Duration::from_millis(2_000),
+    };
+    Config {
+        version: 1,
+        queues: vec![queue("plain", None), queue("gangs", Some(admission))],
+        services: vec![Service {
+            name: "service".into(),
+            standby: false,
+        }],
+        teams: vec![team("red"), team("blue"), team("green")],
+    }
+}
+
+impl World {
+    /// A world in which `faults` begin between the fourth and the eleventh
+    /// second.
+    #[must_use]
+    pub fn new(seed: u64, faults: &[Fault]) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let servers = (0..SERVERS).map(|n| {
+            let capacity = Resources::of(8_000, 16_384, 0, 0);
+            let rate = 0.98 + 0.04 * rng.f64();
+            Server::new(format_compact!("s{n}"), n % VMS, capacity, rate)
+        });
+        let servers = servers.collect();
+        let mut world = Self {
+            now: Duration::ZERO,
+            seq: 0,
+            actions: BTreeMap::new(),
+            agenda: BinaryHeap::new(),
+            vms: Vec::new(),
+            store: Store::default(),
+            servers,
+            clients: Clients::new(),
+            truth: Truth::default(),
+            faults: Vec::new(),
+            struck: 0,
+            next_caller: 0,
+            report: Report::default(),
+            owned_at: Duration::ZERO,
+            trace: false,
+            rng,
+        };
+        for vm in 0..VMS {
+            let vm = world.boot(vm, 1);
+            world.vms.push(vm);
+        }
+        for vm in 0..VMS {
+            world.begin_process(vm);
+        }
+        let mut at = Duration::from_secs(1);
+        let mut n = 0;
+        while at < LAST_JOB {
+            world.at(at, Action::Hand(n));
+            at += Duration::from_millis(world.rng.u64(30..220));
+            n += 1;
+        }
+        for fault in faults {
+            let begin = Duration::from_millis(world.rng.u64(4_000..11_000));
+            world.at(begin, Action::Begin(*fault));
+            world.at(begin + fault.lasts(), Action::End(*fault));
+        }
+        world
+    }
+
+    /// The same world, printing what happens.
+    #[must_use]
+    pub fn traced(mut self) -> Self {
+        self.trace = true;
+        self
+    }
+
+    fn boot(&mut self, vm: usize, process: u64) -> Vm {
+        let id = self.rng.u64(1..);
+        let time = Time {
+            now: self.now,
+            unix: self.now,
+        };
+        Vm {
+            node: Node::new(settings(vm, id), self.rng.u64(..), time),
+            process,
+            up: true,
+            frozen: false,
+            stopping: false,
+            watches: false,
+            callers: HashMap::new(),
+            offers: HashMap::new(),
+        }
+    }
+
+    fn begin_process(&mut self, vm: usize) {
+        let process = self.vms[vm].process;
+        let event = Event::Config {
+            config: Box::new(config()),
+            asked: self.now,
+        };
+        self.at(
+            self.now + HOP,
+            Action::Deliver(vm, process, Box::new(event)),
+        );
+        self.at(self.now + HOP, Action::Tick(vm, process));
+    }
+
+    fn at(&mut self, time: Duration, action: Action) {
+        self.seq += 1;
+        self.actions.insert(self.seq, action);
+        self.agenda.push(Reverse((time, self.seq)));
+    }
+
+    /// Runs to the end and says what happened.
+    #[must_use]
+    pub fn run(mut self) -> Report {
+        let end = LAST_JOB + CALM;
+        while let Some(Reverse((time, seq))) = self.agenda.pop() {
+            if time > end {
+                break;
+            }
+            self.now = self.now.max(time);
+            if let Some(action) = self.actions.remove(&seq) {
+                self.act(action);
+                self.watch();
+            }
+        }
+        for broken in self.truth.settle(&self.clients, &self.servers) {
+            self.report.broken.push((self.now, broken));
+        }
+        let accepted = self.clients.values().filter(|c| c.accepted.is_some());
+        self.report.accepted = accepted.count() as u32;
+        let completed = |c: &&Client| c.shown == Some(Stage::Completed);
+        self.report.completed = self.clients.values().filter(completed).count() as u32;
+        self.report.starts = self.truth.starts;
+        self.report
+    }
+
+    fn watch(&mut self) {
+        if self.vms.iter().any(|vm| vm.up && vm.node.is_owner()) {
+            self.owned_at = self.now;
+        }
+        let gap = self.now.saturating_sub(self.owned_at);
+        self.report.ownerless = self.report.ownerless.max(gap);
+    }
+
+    fn has(&self, fault: Fault) -> bool {
+        self.faults.contains(&fault)
+    }
+
+    /// True when two data centres can reach each other.
+    fn joined(&self, a: usize, b: usize) -> bool {
+        let cut = self.has(Fault::CutDataCentre);
+        a == b || !cut || (a != self.struck && b != self.struck)
+    }
+
+    fn reaches_store(&self, vm: usize) -> bool {
+        let shut_out = self.has(Fault::StoreShutsOwnerOut) && vm == self.struck;
+        let cut = self.has(Fault::CutDataCentre) && vm == self.struck;
+        !shut_out && !cut && !self.has(Fault::StoreDown)
+    }
+
+    fn reaches_server(&self, vm: usize, server: usize) -> bool {
+        let cut = self.has(Fault::CutServers) && server.is_multiple_of(3);
+        !cut && self.joined(vm, self.servers[server].data_centre) && self.servers[server].up
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Deliver(vm, process, event) => self.deliver(vm, process, *event),
+            Action::Tick(vm, process) => self.tick(vm, process),
+            Action::Apply(vm, process, call, transaction) => {
+                let result = self.store.commit(&transaction);
+                self.wake_waiters();
+                self.answer_store(vm, process, call, result);
+            }
+            Action::Order(vm, process, call, server, epoch, order) => {
+                self.obey(vm, process, call, server, epoch, &order);
+            }
+            Action::Answer(vm, process, call, server, epoch) => {
+                self.answer_hold(vm, process, call, server, epoch);
+            }
+            Action::Hand(n) => self.hand_in(n),
+            Action::Send(call) => self.send_call(call),
+            Action::Begin(fault) => self.begin(fault),
+            Action::End(fault) => self.end(fault),
+            Action::Registry(server) => self.publish(server),
+            Action::Offer(vm, process, caller) => {
+                if self.vms[vm].process == process && self.vms[vm].offers.contains_key(&caller) {
+                    self.vms[vm].offers.remove(&caller);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, vm: usize, process: u64) {
+        if self.vms[vm].process != process {
+            return;
+        }
+        self.at(self.now + TICK, Action::Tick(vm, process));
+        for server in 0..self.servers.len() {
+            self.advance(server);
+        }
+        self.expire_waiters();
+        if self.reaches_store(vm) {
+            let asked = self.now;
+            self.deliver(vm, process, Event::ConfigCurrent { asked });
+        }
+        self.deliver(vm, process, Event::Tick);
+    }
+
+    fn deliver(&mut self, vm: usize, process: u64, event: Event) {
+        let entry = &mut self.vms[vm];
+        if entry.process != process || !entry.up {
+            return;
+        }
+        if entry.frozen {
+            let later = self.now + Duration::from_millis(50);
+            if !matches!(event, Event::Tick | Event::ConfigCurrent { .. }) {
+                self.at(later, Action::Deliver(vm, process, Box::new(event)));
+            }
+            return;
+        }
+        let time = Time {
+            now: self.now,
+            unix: self.now,
+        };
+        entry.node.step(event, time);
+        let mut effects = Vec::new();
+        entry.node.settle(&mut effects);
+        for violation in entry.node.verify() {
+            let broken = Broken::Books(violation.to_string());
+            self.report.broken.push((self.now, broken));
+        }
+        for effect in effects {
+            self.carry_out(vm, process, effect);
+        }
+    }
+
+    fn later(&mut self, vm: usize, process: u64, after: Duration, event: Event) {
+        let time = self.now + after;
+        self.at(time, Action::Deliver(vm, process, Box::new(event)));
+    }
+
+    fn carry_out(&mut self, vm: usize, process: u64, effect: Effect) {
+        match effect {
+            Effect::Reply { caller, reply } => self.replied(vm, caller, reply),
+            Effect::Commit { call, transaction } => self.commit(vm, process, call, transaction),
+            Effect::Scan {
+                call,
+                table,
+                from,
+                limit,
+            } => {
+                let result = match self.reaches_store(vm) {
+                    true => Ok(self.store.scan(table, &from, limit)),
+                    false => Err(Failure::Unavailable),
+                };
+                self.later(vm, process, HOP * 4, Event::Stored { call, result });
+            }
+            Effect::Follow {
+                call,
+                table,
+                after,
+                wait,
+            } => {
+                let until = self.now + wait;
+                self.store.waiters.push(Waiter {
+                    vm,
+                    process,
+                    call,
+                    table,
+                    after,
+                    until,
+                });
+                self.wake_waiters();
+            }
+            Effect::WatchServers(on) => {
+                self.vms[vm].watches = on;
+                if on {
+                    let all = self.servers.iter().filter(|s| s.up && s.listed);
+                    let all = all.map(listing).collect();
+                    self.later(vm, process, HOP * 5, Event::Servers(all));
+                }
+            }
+            Effect::Order {
+                call,
+                server,
+                epoch,
+                order,
+                ..
+            } => self.order(vm, process, call, &server, epoch, order),
+            Effect::Advise { call, errand } => {
+                let result = Ok(advise(&errand));
+                self.later(vm, process, errand.takes, Event::Advised { call, result });
+            }
+            Effect::Offer { owner, result } => self.offer(vm, process, &owner, result),
+            Effect::Log(notice) => {
+                if self.trace {
+                    println!("{:?} vm-{vm} {notice:?}", self.now);
+                }
+            }
+            Effect::Record { .. } => {}
+            Effect::Exit => self.vms[vm].up = false,
+        }
+    }
+
+    fn commit(&mut self, vm: usize, process: u64, call: CallId, transaction: Transaction) {
+        let lost = self.has(Fault::StoreLost) && self.rng.f64() < 0.35;
+        match (self.reaches_store(vm), lost) {
+            (true, false) => {
+                let at = self.now + COMMIT;
+                self.at(at, Action::Apply(vm, process, call, transaction));
+            }
+            (true, true) => {
+                // Carried out, now or later, without an answer.
+                let delay = Duration::from_millis(self.rng.u64(5..4_000));
+                let at = self.now + delay;
+                self.at(at, Action::Apply(vm, u64::MAX, call, transaction));
+                let result = Err(Failure::Unknown);
+                self.later(vm, process, TIMEOUT, Event::Stored { call, result });
+            }
+            (false, _) => {
+                let result = Err(Failure::Unknown);
+                self.later(vm, process, TIMEOUT, Event::Stored { call, result });
+            }
+        }
+    }
+
+    fn answer_store(
+        &mut self,
+        vm: usize,
+        process: u64,
+        call: CallId,
+        result: Result<Stored, Failure>,
+    ) {
+        self.later(vm, process, HOP * 3, Event::Stored { call, result });
+    }
+
+    fn wake_waiters(&mut self) {
+        let waiters = std::mem::take(&mut self.store.waiters);
+        for waiter in waiters {
+            if !self.reaches_store(waiter.vm) {
+                self.store.waiters.push(waiter);
+                continue;
+            }
+            match self.store.changes(waiter.table, waiter.after) {
+                Some(result) => {
+                    let call = waiter.call;
+                    let event = Event::Followed { call, result };
+                    self.later(waiter.vm, waiter.process, HOP * 4, event);
+                }
+                None => self.store.waiters.push(waiter),
+            }
+        }
+    }
+
+    fn expire_waiters(&mut self) {
+        let waiters = std::mem::take(&mut self.store.waiters);
+        for waiter in waiters {
+            if self.now < waiter.until {
+                self.store.waiters.push(waiter);
+                continue;
+            }
+            let result = match self.reaches_store(waiter.vm) {
+                true => Ok(self.store.nothing()),
+                false => Err(Failure::Unavailable),
+            };
+            let call = waiter.call;
+            let event = Event::Followed { call, result };
+            self.later(waiter.vm, waiter.process, HOP * 4, event);
+        }
+    }
+
+    fn order(
+        &mut self,
+        vm: usize,
+        process: u64,
+        call: CallId,
+        server: &Name,
+        epoch: u64,
+        order: Box<Order>,
+    ) {
+        let index = self.servers.iter().position(|s| s.id == *server);
+        let Some(server) = index.filter(|server| self.reaches_server(vm, *server)) else {
+            self.lose_order(vm, process, call);
+            return;
+        };
+        let late = self.has(Fault::LateOrders) && self.rng.f64() < 0.2;
+        let at = match late {
+            true => self.now + Duration::from_millis(self.rng.u64(1_000..6_000)),
+            false => self.now + HOP,
+        };
+        let answered = if late { u64::MAX } else { process };
+        self.at(at, Action::Order(vm, answered, call, server, epoch, order));
+        if late {
+            self.lose_order(vm, process, call);
+        }
+    }
+
+    fn lose_order(&mut self, vm: usize, process: u64, call: CallId) {
+        let result = Err(sched::Fault::Lost);
+        self.later(vm, process, TIMEOUT, Event::Answered { call, result });
+    }
+
+    fn obey(
+        &mut self,
+        vm: usize,
+        process: u64,
+        call: CallId,
+        server: usize,
+        epoch: u64,
+        order: &Order,
+    ) {
+        if !self.servers[server].up {
+            return;
+        }
+        let work = match order {
+            Order::Start { run, .. } => {
+                let client = self.clients.get(&run.task.job);
+                client.and_then(|client| client.work(&run.task))
+            }
+            _ => None,
+        };
+        let mut happenings = Vec::new();
+        let entry = &mut self.servers[server];
+        let outcome = entry.obey(epoch, order, work.as_ref(), self.now, &mut happenings);
+        self.note(server, &happenings);
+        self.form_gangs();
+        let waits = match order {
+            Order::Hold { wait, .. } => !wait.is_zero() && !self.servers[server].has_ends(),
+            _ => false,
+        };
+        match (order, waits) {
+            (Order::Hold { wait, .. }, true) => {
+                // Half the wait stands for an end that comes meanwhile.
+                let at = self.now + *wait / 4;
+                self.at(at, Action::Answer(vm, process, call, server, epoch));
+            }
+            _ => {
+                let result = Ok(outcome);
+                self.later(vm, process, HOP, Event::Answered { call, result });
+            }
+        }
+    }
+
+    fn answer_hold(&mut self, vm: usize, process: u64, call: CallId, server: usize, epoch: u64) {
+        if !self.reaches_server(vm, server) {
+            self.lose_order(vm, process, call);
+            return;
+        }
+        let look = Order::Hold {
+            until: None,
+            seen: 0,
+            wait: Duration::ZERO,
+        };
+        let mut happenings = Vec::new();
+        let entry = &mut self.servers[server];
+        let outcome = entry.obey(epoch, &look, None, self.now, &mut happenings);
+        self.note(server, &happenings);
+        let result = Ok(outcome);
+        self.later(vm, process, HOP, Event::Answered { call, result });
+    }
+
+    fn advance(&mut self, server: usize) {
+        let mut happenings = Vec::new();
+        self.servers[server].advance(self.now, &mut happenings);
+        self.note(server, &happenings);
+    }
+
+    fn note(&mut self, server: usize, happenings: &[Happening]) {
+        let mut broken = Vec::new();
+        for happening in happenings {
+            if self.trace {
+                println!("{:?} s{server} {happening:?}", self.now);
+            }
+            let (servers, clients) = (&self.servers, &self.clients);
+            self.truth
+                .note(server, happening, servers, clients, self.now, &mut broken);
+            if let Happening::Ended(run, end) = happening {
+                self.break_gang(&run.task, *end);
+            }
+        }
+        let now = self.now;
+        self.report
+            .broken
+            .extend(broken.into_iter().map(|b| (now, b)));
+    }
+
+    /// Lets gangs of which all members are there work towards their end.
+    fn form_gangs(&mut self) {
+        let mut members: BTreeMap<(JobId, u32, u64), Vec<(usize, TaskName)>> = BTreeMap::new();
+        for (at, server) in self.servers.iter().enumerate().filter(|(_, s)| s.up) {
+            for (task, live) in &server.live {
+                let waits = live.ends.is_some_and(|(_, end)| end == End::Alone);
+                if waits {
+                    let gang = (task.job.clone(), task.step, live.number);
+                    members.entry(gang).or_default().push((at, task.clone()));
+                }
+            }
+        }
+        for ((job, step, _), members) in members {
+            let wanted = self.clients[&job].graph.steps[step as usize].tasks;
+            if members.len() as u32 == wanted {
+                let ends = self.now + Duration::from_millis(600);
+                for (at, task) in members {
+                    if let Some(live) = self.servers[at].live.get_mut(&task) {
+                        live.ends = Some((ends, End::Completed));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The members of a gang end with the first of them. Only the first end
+    /// of a completed gang is listed.
+    fn break_gang(&mut self, task: &TaskName, end: End) {
+        let gang = self
+            .clients
+            .get(&task.job)
+            .is_some_and(|c| c.shape == Shape::Gang);
+        if !gang || end == End::Broken {
+            return;
+        }
+        for server in 0..self.servers.len() {
+            let others: Vec<TaskName> = self.servers[server]
+                .live
+                .keys()
+                .filter(|other| other.job == task.job && other.step == task.step)
+                .cloned()
+                .collect();
+            for other in others {
+                let mut happenings = Vec::new();
+                match end {
+                    End::Completed => drop(self.servers[server].live.remove(&other)),
+                    _ => self.servers[server].end(&other, End::Broken, &mut happenings),
+                }
+                self.note(server, &happenings);
+            }
+        }
+    }
+
+    fn offer(
+        &mut self,
+        vm: usize,
+        process: u64,
+        owner: &Name,
+        result: Option<(CallId, Result<Advice, sched::AdviceFault>)>,
+    ) {
+        let to: usize = owner.parse().unwrap_or(0);
+        let lost = !self.vms[to].up || self.vms[to].frozen || !self.joined(vm, to);
+        if lost {
+            self.later(vm, process, TIMEOUT, Event::Errand(None));
+            return;
+        }
+        self.next_caller += 1;
+        let caller = self.next_caller;
+        self.vms[to].offers.insert(caller, vm);
+        let helper = format_compact!("vm-{vm}");
+        let event = Event::Offer {
+            caller,
+            helper,
+            result,
+        };
+        let owner_process = self.vms[to].process;
+        self.later(to, owner_process, HOP, event);
+        // An owner that dies meanwhile never answers.
+        let at = self.now + Duration::from_secs(2);
+        self.at(at, Action::Offer(to, owner_process, caller));
+    }
+
+    fn replied(&mut self, vm: usize, caller: CallerId, reply: Reply) {
+        if let Some(helper) = self.vms[vm].offers.remove(&caller) {
+            if let Reply::Errand(errand) = reply {
+                let process = self.vms[helper].process;
+                self.later(helper, process, HOP, Event::Errand(errand));
+            }
+            return;
+        }
+        let Some(call) = self.vms[vm].callers.remove(&caller) else {
+            return;
+        };
+        match call {
+            Call::Submit(id) => self.submitted(&id, &reply),
+            Call::State(id) => self.asked(&id, &reply),
+            Call::Cancel(id) => self.cancel_answered(&id, &reply),
+        }
+    }
+
+    fn hand_in(&mut self, n: u64) {
+        let client = Client::new(n, &mut self.rng);
+        let id = client.id.clone();
+        if self.rng.u32(0..12) == 0 || client.shape == Shape::Service {
+            let wait = Duration::from_millis(self.rng.u64(500..6_000));
+            self.at(self.now + wait, Action::Send(Call::Cancel(id.clone())));
+        }
+        self.clients.insert(id.clone(), client);
+        self.send_call(Call::Submit(id));
+    }
+
+    fn send_call(&mut self, call: Call) {
+        let up: Vec<usize> = (0..VMS)
+            .filter(|vm| self.vms[*vm].up && !self.vms[*vm].frozen && self.vms[*vm].node.is_ready())
+            .collect();
+        let Some(vm) = self.rng.choice(up) else {
+            self.at(self.now + ASK_PERIOD, Action::Send(call));
+            return;
+        };
+        let (id, question) = match &call {
+            Call::Submit(id) => {
+                let graph = self.clients[id].graph.clone();
+                (id.clone(), Question::Submit(Box::new(graph)))
+            }
+            Call::State(id) => (id.clone(), Question::State),
+            Call::Cancel(id) => {
+                // A client cancels only what was accepted.
+                if self.clients[id].accepted.is_none() {
+                    return;
+                }
+                if let Some(client) = self.clients.get_mut(id) {
+                    client.cancel_asked = true;
+                }
+                (id.clone(), Question::Cancel)
+            }
+        };
+        let client = &self.clients[&id];
+        let ask = Ask {
+            host: "host".into(),
+            path: format_compact!("/{}/{id}", client.queue),
+            key: Some(key::hash(&client.team)),
+            question,
+        };
+        self.next_caller += 1;
+        let caller = self.next_caller;
+        self.vms[vm].callers.insert(caller, call);
+        let process = self.vms[vm].process;
+        self.later(vm, process, HOP, Event::Ask { caller, ask });
+    }
+
+    fn submitted(&mut self, id: &JobId, reply: &Reply) {
+        let now = self.now;
+        let Some(client) = self.clients.get_mut(id) else {
+            return;
+        };
+        match reply {
+            Reply::Accepted => {
+                client.accepted.get_or_insert(now);
+                self.at(now + ASK_PERIOD, Action::Send(Call::State(id.clone())));
+            }
+            Reply::Refused(_) => {
+                client.refused = true;
+            }
+            _ => {
+                client.asked_unknown = true;
+                let again = now + ASK_PERIOD;
+                self.at(again, Action::Send(Call::Submit(id.clone())));
+            }
+        }
+    }
+
+    fn asked(&mut self, id: &JobId, reply: &Reply) {
+        let now = self.now;
+        if let Reply::State(stage) = reply {
+            let broken = self.truth.shown(id, *stage, &self.clients);
+            self.report.broken.extend(broken.map(|b| (now, b)));
+            if let Some(client) = self.clients.get_mut(id) {
+                client.shown = Some(*stage);
+            }
+        }
+        let ended = self.clients[id].shown.is_some_and(Stage::is_final);
+        if !ended {
+            self.at(now + ASK_PERIOD, Action::Send(Call::State(id.clone())));
+        }
+    }
+
+    fn cancel_answered(&mut self, id: &JobId, reply: &Reply) {
+        let now = self.now;
+        match reply {
+            Reply::Cancelled => {
+                if let Some(client) = self.clients.get_mut(id) {
+                    client.cancelled.get_or_insert(now);
+                }
+            }
+            _ => self.at(now + ASK_PERIOD, Action::Send(Call::Cancel(id.clone()))),
+        }
+    }
+
+    fn owner(&mut self) -> usize {
+        let owner = (0..VMS).find(|vm| self.vms[*vm].up && self.vms[*vm].node.is_owner());
+        owner.unwrap_or_else(|| self.rng.usize(0..VMS))
+    }
+
+    fn begin(&mut self, fault: Fault) {
+        if self.trace {
+            println!("{:?} begins {fault:?}", self.now);
+        }
+        self.faults.push(fault);
+        match fault {
+            Fault::KillOwner => {
+                self.struck = self.owner();
+                self.kill(self.struck);
+            }
+            Fault::KillAll => (0..VMS).for_each(|vm| self.kill(vm)),
+            Fault::FreezeOwner => {
+                self.struck = self.owner();
+                self.vms[self.struck].frozen = true;
+            }
+            Fault::StopOwner => {
+                self.struck = self.owner();
+                self.vms[self.struck].stopping = true;
+                let process = self.vms[self.struck].process;
+                self.later(self.struck, process, HOP, Event::Shutdown);
+            }
+            Fault::StoreShutsOwnerOut | Fault::CutDataCentre => self.struck = self.owner(),
+            Fault::StoreForgets => self.store.forget_history(),
+            Fault::CrashServers => self.crash(),
+            Fault::GreyServers => {
+                self.servers[1].grey = true;
+            }
+            Fault::LeavingServers => self.drain(),
+            Fault::StoreDown | Fault::StoreLost | Fault::CutServers | Fault::LateOrders => {}
+        }
+    }
+
+    fn end(&mut self, fault: Fault) {
+        if self.trace {
+            println!("{:?} ends {fault:?}", self.now);
+        }
+        self.faults.retain(|other| *other != fault);
+        match fault {
+            Fault::KillOwner | Fault::KillAll | Fault::StopOwner => self.restart_all(),
+            Fault::FreezeOwner => self.vms.iter_mut().for_each(|vm| vm.frozen = false),
+            Fault::GreyServers => self.servers[1].grey = false,
+            Fault::CrashServers | Fault::LeavingServers => {
+                for server in [2, 5] {
+                    self.servers[server].restart(self.now);
+                    self.at(self.now + REGISTRY_LAG, Action::Registry(server));
+                }
+            }
+            _ => {}
+        }
+        self.wake_waiters();
+    }
+
+    fn kill(&mut self, vm: usize) {
+        let entry = &mut self.vms[vm];
+        entry.up = false;
+        entry.process += 1;
+        for (_, call) in std::mem::take(&mut entry.callers) {
+            let again = match call {
+                Call::Submit(id) => {
+                    if let Some(client) = self.clients.get_mut(&id) {
+                        client.asked_unknown = true;
+                    }
+                    Call::Submit(id)
+                }
+                other => other,
+            };
+            self.at(self.now + ASK_PERIOD, Action::Send(again));
+        }
+        let offers = std::mem::take(&mut self.vms[vm].offers);
+        for helper in offers.into_values() {
+            let process = self.vms[helper].process;
+            self.later(helper, process, TIMEOUT, Event::Errand(None));
+        }
+    }
+
+    fn restart_all(&mut self) {
+        for vm in 0..VMS {
+            let dead = !self.vms[vm].up || self.vms[vm].stopping;
+            if dead {
+                self.kill(vm);
+                let process = self.vms[vm].process;
+                self.vms[vm] = self.boot(vm, process);
+                self.begin_process(vm);
+            }
+        }
+    }
+
+    fn crash(&mut self) {
+        for server in [2, 5] {
+            self.servers[server].up = false;
+            self.servers[server].live.clear();
+            self.servers[server].listed = false;
+            let gone = self.now + Duration::from_millis(1_500);
+            self.at(gone, Action::Registry(server));
+        }
+    }
+
+    fn drain(&mut self) {
+        for server in [2, 5] {
+            self.servers[server].draining = true;
+            self.at(self.now + REGISTRY_LAG, Action::Registry(server));
+        }
+    }
+
+    /// Tells whoever follows the registry about a backend server.
+    fn publish(&mut self, server: usize) {
+        let entry = &self.servers[server];
+        let event = match entry.up && entry.listed {
+            true => Event::Server(listing(entry)),
+            false => Event::ServerGone(entry.id.clone()),
+        };
+        for vm in 0..VMS {
+            if self.vms[vm].watches && self.reaches_store(vm) {
+                let process = self.vms[vm].process;
+                self.later(vm, process, HOP, event.clone());
+            }
+        }
+    }
+}
+
+fn listing(server: &Server) -> Listing {
+    Listing {
+        id: server.id.clone(),
+        incarnation: server.incarnation,
+        address: server.id.clone(),
+        service: "service".into(),
+        data_centre: format_compact!("dc-{}", server.data_centre),
+        rack: format_compact!("r{}", server.data_centre),
+        labels: Vec::new(),
+        capacity: server.capacity,
+        draining: server.draining,
+    }
+}
+
+fn advise(errand: &Errand) -> Advice {
+    let granted = errand
+        .servers
+        .iter()
+        .filter(|server| checks::allows(&errand.step.0, server))
+        .map(|server| (server.clone(), Name::from("ticket")));
+    Advice {
+        granted: granted.collect(),
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cell;
 pub mod deployment;
 pub mod executor;
+pub mod graphs;
 pub mod http;
 pub mod ledger;
 pub mod naive;
