Fence each incarnation; count uncertain runs on the next one

Change: runs that the old incarnation did not surely start count on the new one until its lists speak; the fencing token grows with each incarnation. Conclusion: an id is not an incarnation; everything sent has to say which.

--- a/crates/sched/src/accounts.rs
+++ b/crates/sched/src/accounts.rs
@@ -102,3 +102,19 @@
     }
     Some(placed)
 }
+
+/// Counts a run on another backend server.
+pub(crate) fn transfer(ledger: &mut Ledger, fleet: &mut Fleet, run: RunRef, to: ServerIx) {
+    let committed = ledger.spec(run.task.step).map(model::Step::committed);
+    let committed = committed.unwrap_or(Resources::ZERO);
+    let Some(placed) = ledger.runs.get_mut(&run) else {
+        return;
+    };
+    let from = std::mem::replace(&mut placed.server, to);
+    let old = fleet.get_mut(from);
+    old.used = old.used.minus(committed);
+    old.runs.remove(&run);
+    let new = fleet.get_mut(to);
+    new.used = new.used.plus(committed);
+    new.runs.insert(run);
+}
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -466,7 +466,7 @@
         /// Its address.
         address: Name,
         /// Fencing token.
-        epoch: Epoch,
+        token: Epoch,
         /// Order.
         order: Box<Order>,
     },
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -7,13 +7,15 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use model::{Name, Resources};
+use model::{Epoch, Name, Resources};
 use policy::Health;
 
 use crate::event::{CallId, Listing};
 use crate::ledger::RunRef;
 use crate::settings::Timing;
 
+/// Incarnations of one id that the fencing tokens of one epoch tell apart.
+const BIRTHS_PER_EPOCH: u64 = 1_024;
 /// Weight of the newest completion in a backend server's slowness.
 const SLOWNESS_GAIN: f64 = 0.25;
 /// Bound on the slowness that one completion can show.
@@ -49,6 +51,8 @@
     /// The registry has an entry of this incarnation.
     pub(crate) listed: bool,
     pub(crate) standing: Standing,
+    /// Earlier incarnations of its id that this owner has seen.
+    pub(crate) births: u64,
     /// An earlier owner may have given it work.
     pub(crate) inherited: bool,
     /// Its clock in ms, and when it was at least that.
@@ -57,6 +61,8 @@
     until: u64,
     /// When everything that runs there is over unless it is renewed.
     pub(crate) lapses_at: Duration,
+    /// When the last hold was sent that this incarnation answered.
+    pub(crate) verified_at: Duration,
     /// When it last answered.
     pub(crate) heard_at: Duration,
     /// When its silence was reported; `None` while it answers.
@@ -82,10 +88,12 @@
             listing,
             listed,
             standing: Standing::Found,
+            births: 0,
             inherited: false,
             clock: None,
             until: 0,
             lapses_at: Duration::ZERO,
+            verified_at: Duration::ZERO,
             heard_at: Duration::ZERO,
             silent: false,
             hold: None,
@@ -100,6 +108,13 @@
         }
     }
 
+    /// Fencing token for orders of an epoch. It grows with each incarnation,
+    /// so that what was meant for an earlier one changes nothing when it is
+    /// carried out late.
+    pub(crate) fn token(&self, epoch: Epoch) -> Epoch {
+        epoch * BIRTHS_PER_EPOCH + self.births.min(BIRTHS_PER_EPOCH - 1)
+    }
+
     /// Resources that nothing is committed to.
     pub(crate) fn free(&self) -> Resources {
         self.listing.capacity.minus(self.used)
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -8,7 +8,7 @@
 use model::Run;
 
 use crate::accounts;
-use crate::event::{CallId, Fault, Finished, Lists, Order, Outcome, Progress, Rejection};
+use crate::event::{CallId, Fault, Finished, Listing, Lists, Order, Outcome, Progress, Rejection};
 use crate::fleet::{Hold, ServerIx, Standing};
 use crate::ledger::{Life, RunRef};
 use crate::notice::{Notice, ms};
@@ -138,11 +138,16 @@
             .incarnation
             .is_some_and(|incarnation| incarnation != known);
         if other {
-            self.server_over(ix, "its lists are of another incarnation", cx);
+            let listing = Listing {
+                incarnation: lists.incarnation.unwrap_or(known),
+                ..self.fleet.get(ix).listing.clone()
+            };
+            self.reincarnate(ix, listing, cx);
             return;
         }
         let now = cx.now();
         let server = self.fleet.get_mut(ix);
+        server.verified_at = sent;
         server.set_clock(lists.clock, now);
         server.silent = false;
         let first = server.standing == Standing::Rostered;
@@ -324,20 +329,11 @@
             let server = self.fleet.get(ix);
             let lapsed = now >= server.lapses_at;
             let silent = now >= server.heard_at + cx.settings.timing.server_silence;
-            match server.standing {
-                Standing::Held if lapsed && !server.runs.is_empty() => {
-                    self.runs_over(ix, "its leases have lapsed", cx);
-                }
-                Standing::Held if lapsed && silent && !server.listed => {
-                    self.server_over(ix, "it is not listed any more", cx);
-                }
-                Standing::Found if !server.listed => {
-                    self.server_over(ix, "it is not listed any more", cx);
-                }
-                Standing::Rostered if !server.inherited && !server.listed => {
-                    self.server_over(ix, "it is not listed any more", cx);
-                }
-                _ => {}
+            let unused = server.runs.is_empty() && !server.inherited;
+            if lapsed && !server.runs.is_empty() {
+                self.runs_over(ix, "its leases have lapsed", cx);
+            } else if lapsed && silent && unused && !server.listed {
+                self.server_over(ix, "it is not listed any more", cx);
             }
         }
     }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -83,7 +83,7 @@
             checkpoint: checkpoint.unwrap_or_default(),
             ticket,
         };
-        self.order(server, order, Sent::Start(run, server), cx);
+        self.order(server, order, Sent::Start(run), cx);
         true
     }
 
@@ -111,13 +111,13 @@
     pub(crate) fn start_answered(
         &mut self,
         run: RunRef,
-        server: ServerIx,
         result: Result<Outcome, Fault>,
         cx: &mut Cx<'_>,
     ) {
-        if !self.ledger.runs.contains_key(&run) {
+        // The run may be counted on a later incarnation by now.
+        let Some(server) = self.ledger.runs.get(&run).map(|placed| placed.server) else {
             return;
-        }
+        };
         match result {
             Ok(Outcome::Done(clock)) => self.started(run, server, clock, cx),
             Ok(Outcome::Lists(_)) => self.start_lost(run, server, Fault::Lost, cx),
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -6,14 +6,14 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use model::{Name, Run};
+use model::{Epoch, Name, Run};
 use policy::Estimates;
 
-use crate::accounts::Accounts;
+use crate::accounts::{self, Accounts};
 use crate::advice::Desk;
 use crate::commit::Commits;
 use crate::config::Config;
-use crate::event::{CallId, Effect, Fault, Listing, Order, Outcome, Time};
+use crate::event::{CallId, Effect, Fault, Listing, Order, Outcome, Rejection, Time};
 use crate::fleet::{Fleet, ServerIx, Standing};
 use crate::ledger::{JobIx, Ledger, Life, RunRef};
 use crate::notice::Notice;
@@ -52,7 +52,7 @@
 /// An order under way.
 #[derive(Clone, Debug)]
 pub(crate) enum Sent {
-    Start(RunRef, ServerIx),
+    Start(RunRef),
     Stop(RunRef),
     Stray,
     Hold(ServerIx),
@@ -71,7 +71,8 @@
     pub(crate) desk: Desk,
     pub(crate) commits: Commits,
     pub(crate) recovery: Recovery,
-    pub(crate) sent: HashMap<CallId, Sent>,
+    /// Orders under way, with their backend server and fencing token.
+    pub(crate) sent: HashMap<CallId, (Sent, ServerIx, Epoch)>,
     pub(crate) strays: Strays,
     pub(crate) images: HashMap<Name, u32>,
     pub(crate) estimates: Estimates,
@@ -110,13 +111,14 @@
     /// Sends an order to a backend server.
     pub(crate) fn order(&mut self, server: ServerIx, order: Order, sent: Sent, cx: &mut Cx<'_>) {
         let call = cx.call();
-        self.sent.insert(call, sent);
-        let listing = &self.fleet.get(server).listing;
+        let entry = self.fleet.get(server);
+        let token = entry.token(cx.term.epoch());
+        self.sent.insert(call, (sent, server, token));
         cx.out.push(Effect::Order {
             call,
-            server: listing.id.clone(),
-            address: listing.address.clone(),
-            epoch: cx.term.epoch(),
+            server: entry.listing.id.clone(),
+            address: entry.listing.address.clone(),
+            token,
             order: Box::new(order),
         });
     }
@@ -128,16 +130,32 @@
         result: Result<Outcome, Fault>,
         cx: &mut Cx<'_>,
     ) {
-        match self.sent.remove(&call) {
-            Some(Sent::Start(run, server)) => self.start_answered(run, server, result, cx),
-            Some(Sent::Stop(run)) => self.stop_answered(run, result, cx),
-            Some(Sent::Hold(server)) => self.hold_answered(server, call, result, cx),
-            Some(Sent::Pace(run)) => self.pace_answered(run, &result),
+        let Some((sent, server, token)) = self.sent.remove(&call) else {
+            return;
+        };
+        let result = match result {
+            Ok(Outcome::Rejected(Rejection::Superseded)) if self.is_outdated(server, token, cx) => {
+                Ok(Outcome::Rejected(Rejection::TooLate))
+            }
+            other => other,
+        };
+        match sent {
+            Sent::Start(run) => self.start_answered(run, result, cx),
+            Sent::Stop(run) => self.stop_answered(run, result, cx),
+            Sent::Hold(server) => self.hold_answered(server, call, result, cx),
+            Sent::Pace(run) => self.pace_answered(run, &result),
             // A stray run that is still listed is told again.
-            Some(Sent::Stray) | None => {}
+            Sent::Stray => {}
         }
     }
 
+    /// True when an order was refused because of this owner's own later orders
+    /// to the next incarnation.
+    fn is_outdated(&self, server: ServerIx, token: Epoch, cx: &Cx<'_>) -> bool {
+        let current = self.fleet.find(&self.fleet.get(server).listing.id);
+        current.is_some_and(|ix| token < self.fleet.get(ix).token(cx.term.epoch()))
+    }
+
     /// Takes in the whole registry.
     pub(crate) fn servers_listed(&mut self, listings: Vec<Listing>, cx: &mut Cx<'_>) {
         let named: Vec<Name> = listings.iter().map(|l| l.id.clone()).collect();
@@ -165,11 +183,7 @@
                 self.update_listing(ix, listing, cx);
             }
             Some(ix) if self.fleet.get(ix).listing.incarnation > listing.incarnation => {}
-            Some(ix) => {
-                self.server_over(ix, "a newer incarnation is listed", cx);
-                self.fleet.add(listing, true);
-                self.commits.roster_due = true;
-            }
+            Some(ix) => self.reincarnate(ix, listing, cx),
             None => {
                 self.fleet.add(listing, true);
                 self.commits.roster_due = true;
@@ -177,6 +191,32 @@
         }
     }
 
+    /// An incarnation was followed by another of the same id. Orders name the
+    /// id, so those that the old one did not surely carry out may have reached
+    /// the new one: their runs count there until its lists say otherwise.
+    pub(crate) fn reincarnate(&mut self, old: ServerIx, listing: Listing, cx: &mut Cx<'_>) {
+        let listed = self.fleet.get(old).listed || self.recovery.listed;
+        let new = self.fleet.add(listing, listed);
+        let verified = self.fleet.get(old).verified_at;
+        let runs = self.fleet.get(old).runs.iter().copied();
+        let uncertain: Vec<RunRef> = runs
+            .filter(|run| {
+                let placed = self.ledger.runs.get(run);
+                placed.is_some_and(|p| p.life == Life::Ordered || p.confirmed_at >= verified)
+            })
+            .collect();
+        for run in uncertain {
+            accounts::transfer(&mut self.ledger, &mut self.fleet, run, new);
+        }
+        let births = self.fleet.get(old).births + 1;
+        self.fleet.get_mut(new).births = births;
+        let timing = &cx.settings.timing;
+        let longest = timing.lease_max.div_f64(timing.clock_rate);
+        self.fleet.get_mut(new).lapses_at = cx.now() + longest;
+        self.commits.roster_due = true;
+        self.server_over(old, "a newer incarnation was seen", cx);
+    }
+
     fn update_listing(&mut self, ix: ServerIx, listing: Listing, cx: &mut Cx<'_>) {
         let server = self.fleet.get_mut(ix);
         let leaves = listing.draining && !server.listing.draining;
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -22,6 +22,8 @@
     pub fresh: Duration,
     /// Lease of what runs on a backend server; covers one takeover.
     pub lease: Duration,
+    /// Longest lease that a backend server grants, whatever it is asked for.
+    pub lease_max: Duration,
     /// Lease on a backend server that leaves, so that its end is noticed soon.
     pub leaving_lease: Duration,
     /// Longest wait of a hold.
@@ -58,6 +60,7 @@
             validity: ms(8_000),
             fresh: ms(1_500),
             lease: ms(5_000),
+            lease_max: ms(10_000),
             leaving_lease: ms(1_500),
             hold_wait: ms(1_000),
             hold_gap: ms(20),
--- a/crates/standin/examples/graphs.rs
+++ b/crates/standin/examples/graphs.rs
@@ -28,6 +28,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Prints every decision and everything that runs"),
         )
+        .arg(
+            Arg::new("sweep")
+                .long("sweep")
+                .value_parser(value_parser!(u64))
+                .help("Runs this many schedules from the seed on, with one to three faults each"),
+        )
         .get_matches();
     let seed = args.get_one::<u64>("seed").copied().unwrap_or(1);
     let named = args.get_many::<String>("fault").into_iter().flatten();
@@ -41,6 +47,9 @@
             }
         }
     }
+    if let Some(count) = args.get_one::<u64>("sweep") {
+        return sweep(seed, *count);
+    }
     let world = World::new(seed, &faults);
     let report = match args.get_flag("trace") {
         true => world.traced().run(),
@@ -58,3 +67,22 @@
         false => ExitCode::FAILURE,
     }
 }
+
+/// Runs schedules with faults that their seeds draw.
+fn sweep(first: u64, count: u64) -> ExitCode {
+    let mut red = 0;
+    for seed in first..first + count {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let faults = rng.choose_multiple(Fault::ALL, seed as usize % 3 + 1);
+        let report = World::new(seed, &faults).run();
+        if let Some((at, broken)) = report.broken.first() {
+            red += 1;
+            println!("seed {seed} {faults:?}: {at:?} {broken}");
+        }
+    }
+    println!("{count} schedules, {red} with a broken promise");
+    match red {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -428,10 +428,10 @@
             Effect::Order {
                 call,
                 server,
-                epoch,
+                token,
                 order,
                 ..
-            } => self.order(vm, process, call, &server, epoch, order),
+            } => self.order(vm, process, call, &server, token, order),
             Effect::Advise { call, errand } => {
                 let result = Ok(advise(&errand));
                 self.later(vm, process, errand.takes, Event::Advised { call, result });
