Hold orders back after a suspension; mark successors of unreached servers

Change: no order after a suspension before a write is confirmed; a new incarnation counts as unseen while an earlier owner may still send; an answer of an incarnation that is over is ignored.

--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -28,7 +28,7 @@
 impl Owner {
     /// Sends the holds that are due.
     pub(crate) fn hold_all(&mut self, cx: &mut Cx<'_>) {
-        if !self.recovery.loaded || !cx.term.is_valid(cx.settings, cx.now()) {
+        if !self.recovery.loaded || !cx.term.may_order(cx.settings, cx.now()) {
             return;
         }
         let now = cx.now();
@@ -98,6 +98,9 @@
         let Some(hold) = server.hold.take_if(|hold| hold.call == call) else {
             return;
         };
+        if server.standing == Standing::Gone {
+            return; // Another incarnation has taken its place.
+        }
         let timing = &cx.settings.timing;
         match result {
             Ok(Outcome::Lists(lists)) => {
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -127,6 +127,7 @@
             unix: time.unix,
         };
         if gap > PAUSE {
+            self.term.woke(self.time.now);
             let gap_ms = ms(gap);
             self.log(Notice::Woke { gap_ms });
         }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -195,6 +195,9 @@
     /// id, so those that the old one did not surely carry out may have reached
     /// the new one: their runs count there until its lists say otherwise.
     pub(crate) fn reincarnate(&mut self, old: ServerIx, listing: Listing, cx: &mut Cx<'_>) {
+        if self.fleet.get(old).standing == Standing::Gone {
+            return; // The next incarnation is known already.
+        }
         let listed = self.fleet.get(old).listed || self.recovery.listed;
         let new = self.fleet.add(listing, listed);
         let verified = self.fleet.get(old).verified_at;
@@ -212,7 +215,11 @@
         self.fleet.get_mut(new).births = births;
         let timing = &cx.settings.timing;
         let longest = timing.lease_max.div_f64(timing.clock_rate);
-        self.fleet.get_mut(new).lapses_at = cx.now() + longest;
+        let unfenced = self.recovery.unseen_at(cx.now());
+        let server = self.fleet.get_mut(new);
+        server.lapses_at = cx.now() + longest;
+        // An earlier owner may reach it before this one's token does.
+        server.inherited = unfenced;
         self.commits.roster_due = true;
         self.server_over(old, "a newer incarnation was seen", cx);
     }
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -66,7 +66,7 @@
 impl Owner {
     /// Starts what can start.
     pub(crate) fn place(&mut self, cx: &mut Cx<'_>) {
-        if !self.recovery.loaded || !cx.term.is_valid(cx.settings, cx.now()) {
+        if !self.recovery.loaded || !cx.term.may_order(cx.settings, cx.now()) {
             return;
         }
         self.open_due(cx);
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -59,6 +59,12 @@
             ..Self::default()
         }
     }
+
+    /// True while an earlier owner may still send orders or have sent some
+    /// that are carried out.
+    pub(crate) fn unseen_at(&self, now: Duration) -> bool {
+        now < self.unseen_until
+    }
 }
 
 /// Tables read at the start of a term.
@@ -342,7 +348,7 @@
                 unreached: unreached.len() as u32,
             });
         }
-        if cx.now() >= self.recovery.unseen_until {
+        if !self.recovery.unseen_at(cx.now()) {
             for ix in unreached {
                 self.fleet.get_mut(ix).inherited = false;
             }
--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -46,6 +46,8 @@
     pub(crate) confirmed_at: Duration,
     /// Version of that write.
     pub(crate) confirmed_version: u64,
+    /// When this VM was last found to have been suspended.
+    woke_at: Duration,
     jitter: Duration,
 }
 
@@ -62,6 +64,7 @@
             current_at: Duration::ZERO,
             confirmed_at: Duration::ZERO,
             confirmed_version: 0,
+            woke_at: Duration::ZERO,
             jitter: CLAIM_JITTER.mul_f64(rng.f64()),
         }
     }
@@ -76,7 +79,18 @@
         self.owner.epoch
     }
 
+    /// This VM was suspended: another one may have claimed meanwhile, so no
+    /// order is sent before a write was confirmed again.
+    pub(crate) fn woke(&mut self, now: Duration) {
+        self.woke_at = now;
+    }
+
     /// True while orders may be sent.
+    pub(crate) fn may_order(&self, settings: &Settings, now: Duration) -> bool {
+        self.is_valid(settings, now) && self.confirmed_at >= self.woke_at
+    }
+
+    /// True while the term goes on.
     pub(crate) fn is_valid(&self, settings: &Settings, now: Duration) -> bool {
         self.is_owning() && now < self.confirmed_at + settings.timing.validity
     }
--- a/crates/standin/src/graphs/faults.rs
+++ b/crates/standin/src/graphs/faults.rs
@@ -56,6 +56,15 @@
         Self::LeavingServers,
     ];
 
+    /// True when VMs lose touch with the table service.
+    #[must_use]
+    pub const fn harms_store(self) -> bool {
+        matches!(
+            self,
+            Self::StoreDown | Self::StoreShutsOwnerOut | Self::StoreLost | Self::CutDataCentre
+        )
+    }
+
     /// How long it lasts.
     #[must_use]
     pub const fn lasts(self) -> Duration {
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -35,6 +35,8 @@
 const TIMEOUT: Duration = Duration::from_millis(700);
 /// Period at which a caller asks for the state of its jobs.
 const ASK_PERIOD: Duration = Duration::from_millis(700);
+/// Time in touch after which time bounds hold again.
+const CONTACT: Duration = Duration::from_secs(3);
 /// When the callers stop handing in jobs.
 const LAST_JOB: Duration = Duration::from_secs(14);
 /// Time left after that for everything to end.
@@ -109,6 +111,8 @@
     next_caller: CallerId,
     report: Report,
     owned_at: Duration,
+    /// Until when VMs count as out of touch with the table service.
+    out_of_touch_until: Duration,
     trace: bool,
 }
 
@@ -184,6 +188,7 @@
             next_caller: 0,
             report: Report::default(),
             owned_at: Duration::ZERO,
+            out_of_touch_until: Duration::ZERO,
             trace: false,
             rng,
         };
@@ -612,13 +617,20 @@
 
     fn note(&mut self, server: usize, happenings: &[Happening]) {
         let mut broken = Vec::new();
+        let in_touch = self.now >= self.out_of_touch_until;
         for happening in happenings {
             if self.trace {
                 println!("{:?} s{server} {happening:?}", self.now);
             }
             let (servers, clients) = (&self.servers, &self.clients);
-            self.truth
-                .note(server, happening, servers, clients, self.now, &mut broken);
+            self.truth.note(
+                server,
+                happening,
+                servers,
+                clients,
+                (self.now, in_touch),
+                &mut broken,
+            );
             if let Happening::Ended(run, end) = happening {
                 self.break_gang(&run.task, *end);
             }
@@ -837,6 +849,10 @@
             println!("{:?} begins {fault:?}", self.now);
         }
         self.faults.push(fault);
+        if fault.harms_store() {
+            let until = self.now + fault.lasts() + CONTACT;
+            self.out_of_touch_until = self.out_of_touch_until.max(until);
+        }
         match fault {
             Fault::KillOwner => {
                 self.struck = self.owner();
