--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -12,7 +12,9 @@
 use compact_str::format_compact;
 use model::Name;
 
-use crate::event::{Advice, AdviceFault, CallId, CallerId, Effect, Errand, Measure, Reply};
+use crate::event::{
+    Advice, AdviceFault, CallId, CallerId, Effect, Errand, Measure, Reply, Response,
+};
 use crate::fleet::ServerIx;
 use crate::ledger::StepRef;
 use crate::notice::{Notice, ms};
@@ -165,7 +167,7 @@
         match offer {
             Some((caller, _)) => cx.out.push(Effect::Reply {
                 caller,
-                reply: Reply::Errand(Some(errand)),
+                reply: Reply::Helper(Response::Errand(errand)),
             }),
             None => {
                 self.desk.local = Some(call);
@@ -190,7 +192,7 @@
         helper.heard = cx.now();
         let replaced = helper.offer.replace((caller, cx.now()));
         if let Some((caller, _)) = replaced {
-            let reply = Reply::Errand(None);
+            let reply = Reply::Helper(Response::Idle);
             cx.out.push(Effect::Reply { caller, reply });
         }
         if let Some((call, result)) = result {
@@ -267,6 +269,17 @@
         }
     }
 
+    /// Asks the helpers to take over, since this VM can't reach the table
+    /// service.
+    pub(crate) fn ask_for_successor(&mut self, cx: &mut Cx<'_>) {
+        for helper in self.desk.helpers.values_mut() {
+            if let Some((caller, _)) = helper.offer.take() {
+                let reply = Reply::Helper(Response::HandOver);
+                cx.out.push(Effect::Reply { caller, reply });
+            }
+        }
+    }
+
     /// Answers offers that waited long enough, and gives up lost calls.
     pub(crate) fn tick_advice(&mut self, cx: &mut Cx<'_>) {
         let now = cx.now();
@@ -274,7 +287,7 @@
         for helper in self.desk.helpers.values_mut() {
             let late = helper.offer.take_if(|(_, since)| now >= *since + wait);
             if let Some((caller, _)) = late {
-                let reply = Reply::Errand(None);
+                let reply = Reply::Helper(Response::Idle);
                 cx.out.push(Effect::Reply { caller, reply });
             }
         }
--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -27,6 +27,8 @@
 const MAX_EXPIRED: usize = 16;
 /// Pause after a write that failed.
 const RETRY: Duration = Duration::from_millis(50);
+/// Signs of life in a row that fail before an owner asks for a successor.
+const HANDOVER_BEATS: u32 = 2;
 /// Row that is written when only a confirmation is needed.
 const GATE: &str = "~gate";
 
@@ -57,6 +59,8 @@
     not_before: Duration,
     expiring: VecDeque<(Duration, JobId)>,
     failing: bool,
+    /// Signs of life that failed since the last one that was confirmed.
+    failed_beats: u32,
 }
 
 impl Commits {
@@ -260,12 +264,26 @@
         match result {
             Ok(Stored::Applied(version)) => {
                 cx.term.confirm(sent, *version);
+                self.commits.failed_beats = 0;
                 self.place_due = true;
                 self.note_store(None, cx);
             }
             Err(Failure::Conflict(rows)) => self.check_owner(rows, cx),
             Ok(Stored::Rows { .. }) => {}
-            Err(failure) => self.note_store(Some(failure), cx),
+            Err(failure) => {
+                self.commits.failed_beats += 1;
+                self.note_store(Some(failure), cx);
+                self.consider_handover(cx);
+            }
+        }
+    }
+
+    /// An owner that the table service turns away asks for a successor.
+    fn consider_handover(&mut self, cx: &mut Cx<'_>) {
+        let unconfirmed = cx.now().saturating_sub(cx.term.confirmed_at);
+        let failing = self.commits.failed_beats >= HANDOVER_BEATS;
+        if failing && unconfirmed >= cx.settings.timing.handover {
+            self.ask_for_successor(cx);
         }
     }
 
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -67,8 +67,23 @@
     Refused(Refusal),
     /// The outcome is unknown; ask again.
     Unknown,
-    /// Work for a helper; `None` when there is none.
-    Errand(Option<Errand>),
+    /// The owner's answer to a helper.
+    Helper(Response),
+}
+
+/// The owner's answer to a helper, or what became of the offer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Response {
+    /// Something to ask.
+    Errand(Errand),
+    /// Nothing to ask.
+    Idle,
+    /// The owner can't reach the table service: who can should take over.
+    HandOver,
+    /// The owner's process does not listen.
+    Refused,
+    /// No answer.
+    Lost,
 }
 
 /// A question to the outside policy, as a helper asks it.
@@ -348,9 +363,8 @@
         /// Result of its previous errand.
         result: Option<(CallId, Result<Advice, AdviceFault>)>,
     },
-    /// What the owner answered to this VM's offer; `None` when it can't be
-    /// reached.
-    Errand(Option<Errand>),
+    /// What the owner answered to this VM's offer.
+    Helped(Response),
     /// A version of the configuration, read by a call sent at `asked`.
     Config {
         /// Content.
@@ -363,6 +377,9 @@
         /// When the call was sent.
         asked: Duration,
     },
+    /// The configuration can't be read: the table service does not serve this
+    /// VM.
+    ConfigUnreachable,
     /// Answer of the table service.
     Stored {
         /// Call.
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -26,6 +26,9 @@
 const MAX_RETRIES: u32 = 2;
 /// Pause before that.
 const RETRY: Duration = Duration::from_millis(80);
+/// Age of a call up to which a write without an answer is sent again: callers
+/// wait about three seconds, and a write takes up to `store_timeout`.
+const RESEND_UNTIL: Duration = Duration::from_millis(1_400);
 /// Age of the owner's figures above which they are not passed on.
 const PENDING_AGE: Duration = Duration::from_secs(6);
 /// Digits of a job id.
@@ -39,12 +42,14 @@
     /// When the last call was sent that proved it to be the newest.
     asked: Duration,
     stale: bool,
+    /// The table service did not serve the last call for it.
+    pub(crate) unreachable: bool,
 }
 
 impl Known {
     /// Puts a configuration in force, unless a newer one is.
     pub(crate) fn install(&mut self, config: Config, asked: Duration) -> bool {
-        self.asked = self.asked.max(asked);
+        self.confirm(asked);
         if config.version <= self.config.version {
             return false;
         }
@@ -55,6 +60,7 @@
 
     /// The configuration was the newest when a call was sent at `asked`.
     pub(crate) fn confirm(&mut self, asked: Duration) {
+        self.unreachable = false;
         self.asked = self.asked.max(asked);
     }
 
@@ -87,6 +93,8 @@
     Accept {
         submission: Box<Submission>,
         retries: u32,
+        /// An earlier write may have been applied, so no refusal is certain.
+        doubtful: bool,
     },
     State,
     Cancel,
@@ -179,6 +187,12 @@
                 let refusal = Refusal::fixed(Reason::BadRequest);
                 cx.refuse(caller, id, &queue.name, refusal);
             }
+            // A call that can't be served is refused before anything is sent,
+            // so that the refusal is certain.
+            _ if cx.known.unreachable => {
+                let refusal = Refusal::after(Reason::StoreDown, STORE_WAIT);
+                cx.refuse(caller, id, &queue.name, refusal);
+            }
             Question::Submit(graph) => self.submit(caller, queue, id, team, *graph, cx),
             Question::State => self.read(caller, queue, id, team, Purpose::State, cx),
             Question::Cancel => self.read(caller, queue, id, team, Purpose::Cancel, cx),
@@ -226,6 +240,7 @@
             purpose: Purpose::Accept {
                 submission: Box::new(submission),
                 retries: 0,
+                doubtful: false,
             },
         };
         self.send_accept(pending, cx);
@@ -319,8 +334,16 @@
                     let at = cx.now + RETRY * *retries;
                     self.retries.push((at, pending));
                 }
+                Purpose::Accept { doubtful: true, .. } => unknown(&pending, cx),
                 _ => refuse_for_store(&pending, cx),
             },
+            // The write is conditional, so it may be sent again.
+            Err(Failure::Unknown) if cx.now < pending.since + RESEND_UNTIL => {
+                if let Purpose::Accept { doubtful, .. } = &mut pending.purpose {
+                    *doubtful = true;
+                }
+                self.send_accept(pending, cx);
+            }
             Ok(Stored::Rows { .. }) | Err(Failure::Unknown | Failure::HistoryLost) => {
                 unknown(&pending, cx);
             }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -37,7 +37,7 @@
 pub use event::{
     Advice, AdviceFault, Ask, CallId, CallerId, Effect, Errand, Event, Failure, Fault, Feed,
     Finished, Listing, Lists, Measure, Order, Outcome, Progress, Question, Rejection, Reply,
-    Stored, Table, Time,
+    Response, Stored, Table, Time,
 };
 pub use node::Node;
 pub use notice::Notice;
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -9,7 +9,7 @@
 use model::{Stage, Transaction, Write};
 
 use crate::event::{
-    Advice, AdviceFault, Ask, CallId, CallerId, Effect, Errand, Event, Failure, Feed, Reply,
+    Advice, AdviceFault, Ask, CallId, CallerId, Effect, Event, Failure, Feed, Reply, Response,
     Stored, Table, Time,
 };
 use crate::intake::{self, Intake, Known};
@@ -70,7 +70,7 @@
         Self {
             time,
             known: Known::default(),
-            term: Term::new(&mut rng),
+            term: Term::new(&settings, &mut rng),
             intake: Intake::default(),
             owner: None,
             next_call: 0,
@@ -93,7 +93,8 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let current = self.known.age(self.time.now) < READY_AGE;
-        self.draining_since.is_none() && self.known.config.version > 0 && current
+        let reachable = current && !self.known.unreachable;
+        self.draining_since.is_none() && self.known.config.version > 0 && reachable
     }
 
     /// True while this node owns.
@@ -139,7 +140,7 @@
                 helper,
                 result,
             } => self.offered(caller, helper, result),
-            Event::Errand(errand) => self.take_errand(errand),
+            Event::Helped(response) => self.helped(response),
             Event::Config { config, asked } => {
                 let version = config.version;
                 if self.known.install(*config, asked) {
@@ -149,6 +150,7 @@
                 }
             }
             Event::ConfigCurrent { asked } => self.known.confirm(asked),
+            Event::ConfigUnreachable => self.known.unreachable = true,
             Event::Stored { call, result } => self.stored(call, &result),
             Event::Followed { call, result } => self.followed(call, &result),
             Event::Servers(listings) => {
@@ -278,7 +280,7 @@
                 call,
                 table: Table::Cell,
                 after,
-                wait: self.settings.timing.silence / 2,
+                wait: self.term.follow_wait(&self.settings),
             },
         });
     }
@@ -443,10 +445,10 @@
         });
     }
 
-    fn take_errand(&mut self, errand: Option<Errand>) {
+    fn helped(&mut self, response: Response) {
         self.offering = false;
-        match errand {
-            Some(errand) => {
+        match response {
+            Response::Errand(errand) => {
                 self.errand = Some(errand.id);
                 let call = errand.id;
                 self.out.push(Effect::Advise {
@@ -454,7 +456,22 @@
                     errand: Box::new(errand),
                 });
             }
-            None => self.next_offer = self.time.now + OFFER_RETRY,
+            Response::Idle => self.next_offer = self.time.now,
+            Response::Lost => self.next_offer = self.time.now + OFFER_RETRY,
+            Response::HandOver | Response::Refused => {
+                self.next_offer = self.time.now + OFFER_RETRY;
+                self.suspect_owner();
+            }
+        }
+    }
+
+    /// The owner is in trouble: looks at its rows without waiting for changes.
+    fn suspect_owner(&mut self) {
+        if self.term.standing == Standing::Following {
+            self.term.hint(self.time.now);
+            self.cell = None;
+            self.cell_version = None;
+            self.cell_retry = Some(self.time.now);
         }
     }
 
@@ -475,7 +492,7 @@
         match self.term.is_owning() {
             true => self.with_owner(|owner, cx| owner.offered(caller, helper, result, cx)),
             false => {
-                let reply = Reply::Errand(None);
+                let reply = Reply::Helper(Response::Idle);
                 self.out.push(Effect::Reply { caller, reply });
             }
         }
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -9,16 +9,23 @@
 /// Bounds and periods.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Timing {
-    /// Period of the owner's sign of life; four fit into `silence`.
+    /// Period of the owner's sign of life; several fit into `silence`.
     pub beat: Duration,
     /// Silence of the owner after which another VM claims its place; longer
     /// than a slow answer of the table service.
     pub silence: Duration,
+    /// Silence of an owner that is known to be in trouble, after which another
+    /// VM claims its place; longer than two signs of life.
+    pub hinted_silence: Duration,
+    /// Time without a confirmed write after which an owner asks for a
+    /// successor.
+    pub handover: Duration,
     /// How long an owner goes on without a confirmed write; covers the outages
     /// of the table service that the operators expect.
     pub validity: Duration,
     /// Longest time without a confirmed write in which an owner takes on a
-    /// backend server that it has not called before; less than `silence`.
+    /// backend server that it has not called before; less than
+    /// `hinted_silence`.
     pub fresh: Duration,
     /// Lease of what runs on a backend server; covers one takeover.
     pub lease: Duration,
@@ -55,10 +62,12 @@
     fn default() -> Self {
         let ms = Duration::from_millis;
         Self {
-            beat: ms(500),
-            silence: ms(1_800),
+            beat: ms(300),
+            silence: ms(1_500),
+            hinted_silence: ms(650),
+            handover: ms(700),
             validity: ms(8_000),
-            fresh: ms(1_500),
+            fresh: ms(600),
             lease: ms(5_000),
             lease_max: ms(10_000),
             leaving_lease: ms(1_500),
@@ -86,6 +95,8 @@
     pub process: u64,
     /// Address for helpers.
     pub address: Name,
+    /// Part of a core that this VM has; stronger VMs claim sooner.
+    pub strength: f64,
     /// Factor on the run time of tasks away from their data or rack.
     pub remote_factor: f64,
     /// Timing.
--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -12,8 +12,17 @@
 use crate::rows::{self, Beat, Owner};
 use crate::settings::Settings;
 
-/// Most random delay of a claim, so that VMs rarely race.
-const CLAIM_JITTER: Duration = Duration::from_millis(400);
+/// Random part of the delay of a claim, so that VMs rarely race.
+const CLAIM_JITTER: Duration = Duration::from_millis(120);
+/// Delay of a claim by a VM that has one core; weaker VMs wait longer, since
+/// the owner does most of the work.
+const CLAIM_DELAY: Duration = Duration::from_millis(50);
+/// Longest delay of a claim.
+const MAX_CLAIM_DELAY: Duration = Duration::from_millis(500);
+/// How long a hint that the owner is in trouble counts.
+const HINT: Duration = Duration::from_secs(2);
+/// Shortest and longest wait for changes while following.
+const FOLLOW: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(900));
 
 /// What this VM is to the cell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,12 +57,16 @@
     pub(crate) confirmed_version: u64,
     /// When this VM was last found to have been suspended.
     woke_at: Duration,
-    jitter: Duration,
+    /// When the owner was last known to be in trouble.
+    hinted_at: Option<Duration>,
+    /// Delay of this VM's claims.
+    delay: Duration,
 }
 
 impl Term {
     /// A VM that knows nothing yet.
-    pub(crate) fn new(rng: &mut fastrand::Rng) -> Self {
+    pub(crate) fn new(settings: &Settings, rng: &mut fastrand::Rng) -> Self {
+        let delay = CLAIM_DELAY.div_f64(settings.strength.clamp(0.01, 1.0));
         Self {
             standing: Standing::Following,
             owner: Owner::default(),
@@ -65,7 +78,8 @@
             confirmed_at: Duration::ZERO,
             confirmed_version: 0,
             woke_at: Duration::ZERO,
-            jitter: CLAIM_JITTER.mul_f64(rng.f64()),
+            hinted_at: None,
+            delay: delay.min(MAX_CLAIM_DELAY) + CLAIM_JITTER.mul_f64(rng.f64()),
         }
     }
 
@@ -150,17 +164,35 @@
             .map_or(Duration::ZERO, |at| self.current_at.saturating_sub(at))
     }
 
+    /// The owner is known to be in trouble.
+    pub(crate) fn hint(&mut self, now: Duration) {
+        self.hinted_at = Some(now);
+    }
+
+    /// Silence of the owner after which this VM claims.
+    fn patience(&self, settings: &Settings) -> Duration {
+        let timing = &settings.timing;
+        let hinted = self.hinted_at.is_some_and(|at| self.current_at < at + HINT);
+        let restarted = self.owner.name == settings.name && self.owner.process != settings.process;
+        match () {
+            () if restarted => Duration::ZERO,
+            () if self.owner_version == 0 || self.owner.released => self.delay,
+            () if hinted => timing.hinted_silence + self.delay,
+            () => timing.silence + self.delay,
+        }
+    }
+
     /// True when this VM should claim now.
     pub(crate) fn should_claim(&self, settings: &Settings) -> bool {
-        let same_vm = self.owner.name == settings.name;
-        let restarted = same_vm && self.owner.process != settings.process;
-        match self.changed_at {
-            Some(_) if self.standing != Standing::Following => false,
-            Some(_) if self.owner_version == 0 || restarted => true,
-            Some(_) if self.owner.released => self.silence() >= self.jitter / 8,
-            Some(_) => self.silence() >= settings.timing.silence + self.jitter,
-            None => false,
-        }
+        self.standing == Standing::Following
+            && self.changed_at.is_some()
+            && self.silence() >= self.patience(settings)
+    }
+
+    /// Longest wait for changes of the rows, so that a claim is made in time.
+    pub(crate) fn follow_wait(&self, settings: &Settings) -> Duration {
+        let left = self.patience(settings).saturating_sub(self.silence());
+        (left + Duration::from_millis(5)).clamp(FOLLOW.0, FOLLOW.1)
     }
 
     /// The owner row that a claim writes.
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -10,7 +10,7 @@
 use model::{End, JobId, Name, Resources, Stage, TaskName, Transaction, key};
 use sched::{
     Admission, Advice, Ask, CallId, CallerId, Config, Effect, Errand, Event, Failure, Listing,
-    Node, Order, Question, Queue, Reply, Service, Settings, Stored, Team, Time, Timing,
+    Node, Order, Question, Queue, Reply, Response, Service, Settings, Stored, Team, Time, Timing,
 };
 
 use crate::graphs::callers::{Client, Clients, Shape};
@@ -124,6 +124,7 @@
         name: format_compact!("vm-{vm}"),
         process,
         address: format_compact!("{vm}"),
+        strength: 0.25,
         remote_factor: 2.0,
         timing: Timing::default(),
     }
@@ -462,6 +463,12 @@
 
     fn commit(&mut self, vm: usize, process: u64, call: CallId, transaction: Transaction) {
         let lost = self.has(Fault::StoreLost) && self.rng.f64() < 0.35;
+        let busy = self.has(Fault::StoreLost) && self.rng.f64() < 0.2;
+        if busy {
+            let result = Err(Failure::Unavailable);
+            self.later(vm, process, HOP * 4, Event::Stored { call, result });
+            return;
+        }
         match (self.reaches_store(vm), lost) {
             (true, false) => {
                 let at = self.now + COMMIT;
@@ -475,6 +482,11 @@
                 let result = Err(Failure::Unknown);
                 self.later(vm, process, TIMEOUT, Event::Stored { call, result });
             }
+            // Turned away with an answer, or without one.
+            (false, _) if self.rng.bool() => {
+                let result = Err(Failure::Unavailable);
+                self.later(vm, process, HOP * 4, Event::Stored { call, result });
+            }
             (false, _) => {
                 let result = Err(Failure::Unknown);
                 self.later(vm, process, TIMEOUT, Event::Stored { call, result });
@@ -714,7 +726,7 @@
         let to: usize = owner.parse().unwrap_or(0);
         let lost = !self.vms[to].up || self.vms[to].frozen || !self.joined(vm, to);
         if lost {
-            self.later(vm, process, TIMEOUT, Event::Errand(None));
+            self.later(vm, process, TIMEOUT, Event::Helped(Response::Lost));
             return;
         }
         self.next_caller += 1;
@@ -735,9 +747,9 @@
 
     fn replied(&mut self, vm: usize, caller: CallerId, reply: Reply) {
         if let Some(helper) = self.vms[vm].offers.remove(&caller) {
-            if let Reply::Errand(errand) = reply {
+            if let Reply::Helper(response) = reply {
                 let process = self.vms[helper].process;
-                self.later(helper, process, HOP, Event::Errand(errand));
+                self.later(helper, process, HOP, Event::Helped(response));
             }
             return;
         }
@@ -929,7 +941,7 @@
         let offers = std::mem::take(&mut self.vms[vm].offers);
         for helper in offers.into_values() {
             let process = self.vms[helper].process;
-            self.later(helper, process, TIMEOUT, Event::Errand(None));
+            self.later(helper, process, TIMEOUT, Event::Helped(Response::Lost));
         }
     }
 
