Record starts before they are ordered

Change: a state row says where runs may exist before their orders leave. A successor that called a majority of the backend servers within 2 s of the last sign of life trusts the records. While the table service is away, an owner that hears the majority starts unrecorded and says so in its next signs. The extra confirmation before a job's first start is gone.

--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -11,9 +11,9 @@
 use compact_str::format_compact;
 use model::{Condition, JobId, Row, Transaction, Write};
 
-use crate::event::{CallId, Effect, Failure, Measure, Stored, Table};
+use crate::event::{CallId, Effect, Failure, Measure, Stored};
 use crate::fleet::{ServerIx, Standing};
-use crate::ledger::JobIx;
+use crate::ledger::{JobIx, Life, RunRef};
 use crate::notice::{Notice, ms};
 use crate::owner::{Cx, Owner};
 use crate::rows::{self, Beat, Rostered};
@@ -29,8 +29,14 @@
 const RETRY: Duration = Duration::from_millis(50);
 /// Signs of life in a row that fail before an owner asks for a successor.
 const HANDOVER_BEATS: u32 = 2;
-/// Row that is written when only a confirmation is needed.
-const GATE: &str = "~gate";
+/// Weight of the newest answer in the mean answer time.
+const ANSWER_GAIN: f64 = 0.1;
+/// Multiple of the mean answer time after which a group commit is sent again;
+/// its conditions make that harmless.
+const PATIENCE: f64 = 8.0;
+/// Bounds on that time.
+const PATIENCE_RANGE: (Duration, Duration) =
+    (Duration::from_millis(150), Duration::from_millis(1_200));
 
 /// A group commit under way.
 #[derive(Debug)]
@@ -40,6 +46,10 @@
     jobs: Vec<(JobIx, bool)>,
     acks: Vec<(ServerIx, u64)>,
     roster: Option<Vec<ServerIx>>,
+    /// Runs whose records it holds and that are ordered once it is applied.
+    starts: Vec<RunRef>,
+    /// It holds the state of every job that had changed.
+    whole: bool,
 }
 
 /// State of the owner's writes.
@@ -47,11 +57,8 @@
 pub(crate) struct Commits {
     /// A job's state or an acknowledgement waits.
     pub(crate) due: bool,
-    /// A confirmation is wanted.
-    pub(crate) gate_due: bool,
     /// The roster has changed.
     pub(crate) roster_due: bool,
-    /// Version of the last commit, when a job waits for a higher one.
     batch: Option<Batch>,
     beats: HashMap<CallId, Duration>,
     beat_count: u64,
@@ -59,6 +66,11 @@
     not_before: Duration,
     expiring: VecDeque<(Duration, JobId)>,
     failing: bool,
+    /// When the last run was ordered whose record was not written; `None` once
+    /// all are written.
+    pub(crate) unrecorded_at: Option<Duration>,
+    /// Mean answer time of group commits in seconds.
+    answer_time: f64,
     /// Signs of life that failed since the last one that was confirmed.
     failed_beats: u32,
 }
@@ -69,6 +81,12 @@
         self.expiring.push_back((at, id));
     }
 
+    /// Time after which a group commit counts as unanswered.
+    fn patience(&self) -> Duration {
+        let time = Duration::from_secs_f64(self.answer_time * PATIENCE);
+        time.clamp(PATIENCE_RANGE.0, PATIENCE_RANGE.1)
+    }
+
     /// True when no write waits or is under way.
     pub(crate) fn is_idle(&self) -> bool {
         !self.due && self.batch.is_none()
@@ -101,7 +119,7 @@
             self.send_beat(cx);
         }
         let commits = &self.commits;
-        let wanted = commits.due || commits.gate_due || commits.roster_due;
+        let wanted = commits.due || commits.roster_due;
         if wanted && commits.batch.is_none() && now >= commits.not_before && self.recovery.loaded {
             self.send_batch(cx);
         }
@@ -112,6 +130,8 @@
         self.commits.beat_count += 1;
         let beat = Beat {
             count: self.commits.beat_count,
+            clock: cx.term.clock(cx.now()),
+            recorded: self.commits.unrecorded_at.is_none(),
             pending: self.pending(),
         };
         let call = cx.call();
@@ -121,7 +141,11 @@
             writes: vec![put(rows::BEAT.into(), rows::encode(&beat))],
         };
         cx.term.beat = beat;
-        cx.out.push(Effect::Commit { call, transaction });
+        cx.out.push(Effect::Commit {
+            call,
+            transaction,
+            limit: None,
+        });
     }
 
     fn send_batch(&mut self, cx: &mut Cx<'_>) {
@@ -134,23 +158,29 @@
         let (jobs, whole) = self.jobs_into(&mut transaction);
         self.expired_into(&mut transaction, cx.now());
         self.commits.due = !whole;
-        self.commits.gate_due = false;
         let acks = match whole {
             true => self.acks(),
             false => Vec::new(),
         };
         if transaction.writes.is_empty() {
-            let key = format_compact!("{}{GATE}", Table::State.prefix());
-            transaction.writes.push(put(key, Bytes::new()));
+            self.acknowledge(&acks);
+            return;
         }
+        let starts = self.planned(&jobs);
         self.commits.batch = Some(Batch {
             call,
             sent: cx.now(),
             jobs,
             acks,
             roster,
+            starts,
+            whole,
+        });
+        cx.out.push(Effect::Commit {
+            call,
+            transaction,
+            limit: Some(self.commits.patience()),
         });
-        cx.out.push(Effect::Commit { call, transaction });
     }
 
     fn roster_into(&mut self, transaction: &mut Transaction) -> Option<Vec<ServerIx>> {
@@ -199,8 +229,6 @@
                 key: key.clone(),
                 version: job.record_version,
             });
-            let record = rows::encode(&job.record());
-            transaction.writes.push(put(key, record));
             let last = job.stage.is_final() && over && !(job.inherited && unseen);
             if last {
                 transaction.writes.push(remove(rows::job_key(&job.id)));
@@ -209,6 +237,12 @@
                 }
             }
             jobs.push((*ix, last));
+            let fleet = &self.fleet;
+            let record = self.ledger.record(*ix, |server| {
+                let listing = &fleet.get(server).listing;
+                (listing.id.clone(), listing.incarnation)
+            });
+            transaction.writes.push(put(key, rows::encode(&record)));
         }
         (jobs, true)
     }
@@ -262,8 +296,9 @@
 
     fn beat_written(&mut self, sent: Duration, result: &Result<Stored, Failure>, cx: &mut Cx<'_>) {
         match result {
-            Ok(Stored::Applied(version)) => {
-                cx.term.confirm(sent, *version);
+            Ok(Stored::Applied { clock, .. }) => {
+                cx.term.confirm(sent);
+                cx.term.set_clock(*clock, cx.now());
                 self.commits.failed_beats = 0;
                 self.place_due = true;
                 self.note_store(None, cx);
@@ -289,7 +324,10 @@
 
     fn batch_written(&mut self, batch: Batch, result: &Result<Stored, Failure>, cx: &mut Cx<'_>) {
         match result {
-            Ok(Stored::Applied(version)) => self.batch_applied(batch, *version, cx),
+            Ok(Stored::Applied { version, clock }) => {
+                cx.term.set_clock(*clock, cx.now());
+                self.batch_applied(batch, *version, cx);
+            }
             Ok(Stored::Rows { .. }) => self.redo(&batch, cx),
             Err(Failure::Conflict(rows)) => {
                 self.check_owner(rows, cx);
@@ -305,10 +343,11 @@
     }
 
     fn batch_applied(&mut self, batch: Batch, version: u64, cx: &mut Cx<'_>) {
-        cx.term.confirm(batch.sent, version);
+        cx.term.confirm(batch.sent);
         self.note_store(None, cx);
         self.place_due = true;
         let took = cx.now().saturating_sub(batch.sent);
+        self.commits.answer_time += ANSWER_GAIN * (took.as_secs_f64() - self.commits.answer_time);
         cx.out.push(Effect::Record {
             measure: Measure::Commit,
             team: "".into(),
@@ -318,9 +357,12 @@
         for (ix, last) in batch.jobs {
             self.job_written(ix, last, version, cx);
         }
-        for (ix, number) in batch.acks {
-            let server = self.fleet.get_mut(ix);
-            server.acknowledged = server.acknowledged.max(number);
+        if batch.whole {
+            let _ = self.commits.unrecorded_at.take_if(|at| *at <= batch.sent);
+        }
+        self.acknowledge(&batch.acks);
+        for run in batch.starts {
+            self.order_start(run, cx);
         }
         for ix in batch.roster.into_iter().flatten() {
             let server = self.fleet.get_mut(ix);
@@ -330,6 +372,24 @@
         }
     }
 
+    /// Ends up to these numbers need not be listed again.
+    fn acknowledge(&mut self, acks: &[(ServerIx, u64)]) {
+        for (ix, number) in acks {
+            let server = self.fleet.get_mut(*ix);
+            server.acknowledged = server.acknowledged.max(*number);
+        }
+    }
+
+    /// Planned runs of jobs.
+    fn planned(&self, jobs: &[(JobIx, bool)]) -> Vec<RunRef> {
+        let runs = jobs.iter().flat_map(|(ix, _)| self.ledger.runs_of(*ix));
+        let is_planned = |run: &RunRef| {
+            let placed = self.ledger.runs.get(run);
+            placed.is_some_and(|placed| placed.life == Life::Planned)
+        };
+        runs.filter(is_planned).collect()
+    }
+
     fn job_written(&mut self, ix: JobIx, last: bool, version: u64, cx: &Cx<'_>) {
         let Some(job) = self.ledger.jobs.get_mut(&ix) else {
             return;
@@ -350,7 +410,6 @@
         }
         self.commits.roster_due |= batch.roster.is_some();
         self.commits.due |= !batch.acks.is_empty();
-        self.commits.gate_due = true;
         self.commits.not_before = cx.now() + RETRY;
     }
 
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -164,8 +164,13 @@
 /// What the table service did.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Stored {
-    /// The transaction was applied; its version.
-    Applied(u64),
+    /// The transaction was applied.
+    Applied {
+        /// Its version.
+        version: u64,
+        /// Steady clock of the table service.
+        clock: Duration,
+    },
     /// Rows of a table from some key on.
     Rows {
         /// Rows in ascending order of keys.
@@ -174,6 +179,8 @@
         more: bool,
         /// Newest version of the whole service at that moment.
         version: u64,
+        /// Steady clock of the table service.
+        clock: Duration,
     },
 }
 
@@ -449,6 +456,8 @@
         call: CallId,
         /// Transaction.
         transaction: Transaction,
+        /// Time after which it counts as unanswered; `None` for the usual.
+        limit: Option<Duration>,
     },
     /// Read rows of a table from a key on, in pages.
     Scan {
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -268,7 +268,11 @@
         };
         let call = cx.call();
         self.pending.insert(call, pending);
-        cx.out.push(Effect::Commit { call, transaction });
+        cx.out.push(Effect::Commit {
+            call,
+            transaction,
+            limit: None,
+        });
     }
 
     fn read(
@@ -327,7 +331,7 @@
     ) {
         match result {
             // A conflict means that this job was accepted before.
-            Ok(Stored::Applied(_)) | Err(Failure::Conflict(_)) => accepted(&pending, cx),
+            Ok(Stored::Applied { .. }) | Err(Failure::Conflict(_)) => accepted(&pending, cx),
             Err(Failure::Unavailable) => match &mut pending.purpose {
                 Purpose::Accept { retries, .. } if *retries < MAX_RETRIES => {
                     *retries += 1;
@@ -382,7 +386,11 @@
                 value: Some(rows::encode(&true)),
             }],
         };
-        cx.out.push(Effect::Commit { call, transaction });
+        cx.out.push(Effect::Commit {
+            call,
+            transaction,
+            limit: None,
+        });
         let purpose = Purpose::MarkCancelled;
         self.pending.insert(call, Pending { purpose, ..pending });
     }
@@ -394,7 +402,7 @@
         cx: &mut Cx<'_>,
     ) {
         match result {
-            Ok(Stored::Applied(_)) => {
+            Ok(Stored::Applied { .. }) => {
                 cx.out.push(Effect::Log(Notice::Cancelled {
                     job: pending.id.clone(),
                 }));
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -58,6 +58,8 @@
 /// What is known of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Life {
+    /// Decided; ordered once its record is written.
+    Planned,
     /// Ordered; no answer yet.
     Ordered,
     /// Confirmed by the backend server.
@@ -172,8 +174,6 @@
     pub(crate) cancelled: bool,
     /// Version of the state row; what a write of it is conditional on.
     pub(crate) record_version: u64,
-    /// Version of the submission's row.
-    pub(crate) row_version: u64,
     /// True when an earlier owner may have started tasks of it.
     pub(crate) inherited: bool,
     /// The state row is to be written.
@@ -202,7 +202,6 @@
             stage: Stage::Queued,
             cancelled: false,
             record_version: row_version,
-            row_version,
             inherited,
             dirty: false,
             since,
@@ -274,8 +273,8 @@
         spec.after.iter().all(done)
     }
 
-    /// What must survive of the job.
-    pub(crate) fn record(&self) -> Record {
+    /// What must survive of the job's tasks.
+    fn record(&self) -> Record {
         let mut record = Record {
             stage: self.stage,
             ..Record::default()
@@ -406,6 +405,28 @@
         })
     }
 
+    /// What must survive of a job. `server` names a backend server's id and
+    /// incarnation.
+    pub(crate) fn record<F>(&self, ix: JobIx, server: F) -> Record
+    where
+        F: Fn(ServerIx) -> (Name, u64),
+    {
+        let Some(job) = self.jobs.get(&ix) else {
+            return Record::default();
+        };
+        let mut record = job.record();
+        for run in self.runs_of(ix) {
+            let Some(placed) = self.runs.get(&run) else {
+                continue;
+            };
+            let RunRef { task, number } = run;
+            let entry = (task.step.occurrence, task.step.step, task.index, number);
+            let at = record.placed.entry(server(placed.server)).or_default();
+            at.push(entry);
+        }
+        record
+    }
+
     /// Runs of a job that may exist.
     pub(crate) fn runs_of(&self, job: JobIx) -> Vec<RunRef> {
         let Some(job_state) = self.jobs.get(&job) else {
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -22,6 +22,9 @@
 const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between holds on a silent backend server that runs nothing.
 const IDLE_RETRY: Duration = Duration::from_millis(1_000);
+/// Wait of holds while no write is confirmed: the answers show that no
+/// successor has the backend servers.
+const UNCONFIRMED_WAIT: Duration = Duration::from_millis(250);
 /// Wait of holds on a backend server that leaves.
 const LEAVING_WAIT: Duration = Duration::from_millis(400);
 
@@ -63,6 +66,7 @@
         let now = cx.now();
         let timing = &cx.settings.timing;
         let fresh = cx.term.is_fresh(cx.settings, now);
+        let unconfirmed = now >= cx.term.confirmed_at + timing.handover;
         let server = self.fleet.get_mut(ix);
         // A server that this owner has not called yet may know a later owner.
         if server.standing == Standing::Rostered && !fresh {
@@ -78,6 +82,7 @@
             Standing::Held if server.processed != server.acknowledged => Duration::ZERO,
             Standing::Held if server.silent => Duration::ZERO,
             Standing::Held if server.listing.draining => LEAVING_WAIT,
+            Standing::Held if unconfirmed => UNCONFIRMED_WAIT,
             Standing::Held => timing.hold_wait,
             _ => Duration::ZERO,
         };
@@ -217,7 +222,7 @@
             Some(placed) if placed.server == ix => {
                 placed.percent = progress.percent;
                 placed.gauge = progress.gauge;
-                if placed.life == Life::Ordered {
+                if matches!(placed.life, Life::Planned | Life::Ordered) {
                     placed.life = Life::Running;
                     placed.confirmed_at = cx.now();
                 }
@@ -277,26 +282,30 @@
         sent: Duration,
         cx: &mut Cx<'_>,
     ) {
-        let runs: Vec<RunRef> = self.fleet.get(ix).runs.iter().copied().collect();
-        for run in runs.into_iter().filter(|run| !listed.contains(run)) {
-            let Some(placed) = self.ledger.runs.get(&run) else {
-                continue;
-            };
-            let over = match placed.life {
-                Life::Ordered => false,
-                Life::Running => placed.confirmed_at < sent,
-                Life::Stopping => placed.stop_acked.is_some_and(|at| at < sent),
-            };
-            if over {
-                let label = self.label(run, ix);
-                cx.log(Notice::RunVanished {
-                    job: label.job,
-                    task: label.task,
-                    run: run.number,
-                    server: label.server,
-                });
-                self.run_over(run, cx);
-            }
+        let is_over = |run: &&RunRef| {
+            let placed = self.ledger.runs.get(run);
+            placed.is_some_and(|placed| match placed.life {
+                Life::Planned | Life::Ordered => false,
+                Life::Running => placed.confirmed_at <= sent,
+                Life::Stopping => placed.stop_acked.is_some_and(|at| at <= sent),
+            })
+        };
+        let missing = self
+            .fleet
+            .get(ix)
+            .runs
+            .iter()
+            .filter(|run| !listed.contains(run));
+        let over: Vec<RunRef> = missing.filter(is_over).copied().collect();
+        for run in over {
+            let label = self.label(run, ix);
+            cx.log(Notice::RunVanished {
+                job: label.job,
+                task: label.task,
+                run: run.number,
+                server: label.server,
+            });
+            self.run_over(run, cx);
         }
     }
 
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -288,13 +288,19 @@
     fn cell_read(&mut self, result: &Result<Stored, Failure>) {
         self.cell = None;
         match result {
-            Ok(Stored::Rows { rows, version, .. }) => {
+            Ok(Stored::Rows {
+                rows,
+                version,
+                clock,
+                ..
+            }) => {
+                self.term.set_clock(*clock, self.time.now);
                 self.learn_cell(rows);
                 self.cell_version = Some(*version);
                 self.cell_retry = Some(self.time.now);
                 self.consider_claim();
             }
-            Ok(Stored::Applied(_)) | Err(_) => self.cell_failed(),
+            Ok(Stored::Applied { .. }) | Err(_) => self.cell_failed(),
         }
     }
 
@@ -368,7 +374,11 @@
             }],
         };
         self.claim = Some((call, self.time.now, owner));
-        self.out.push(Effect::Commit { call, transaction });
+        self.out.push(Effect::Commit {
+            call,
+            transaction,
+            limit: None,
+        });
     }
 
     fn claimed(&mut self, result: &Result<Stored, Failure>) {
@@ -376,7 +386,8 @@
             return;
         };
         match result {
-            Ok(Stored::Applied(version)) if self.term.standing == Standing::Claiming => {
+            Ok(Stored::Applied { version, clock }) if self.term.standing == Standing::Claiming => {
+                self.term.set_clock(*clock, self.time.now);
                 self.begin_term(owner, *version, sent);
             }
             // The next read of the rows shows who owns.
@@ -545,7 +556,11 @@
         // No order may follow the write.
         self.owner = None;
         self.out.push(Effect::WatchServers(false));
-        self.out.push(Effect::Commit { call, transaction });
+        self.out.push(Effect::Commit {
+            call,
+            transaction,
+            limit: None,
+        });
         let epoch = self.term.epoch();
         self.log(Notice::Released { epoch });
     }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -40,51 +40,90 @@
         }
     }
 
-    /// Commits room for a run and orders it. False when the backend server's
-    /// clock is not known.
-    pub(crate) fn start(
-        &mut self,
-        run: RunRef,
-        server: ServerIx,
-        ticket: Option<Name>,
-        cx: &mut Cx<'_>,
-    ) -> bool {
-        let timing = &cx.settings.timing;
-        let Some(until) = self.fleet.get(server).lease(timing, cx.now()) else {
-            return false;
-        };
-        let (Some(name), Some(spec)) = (self.ledger.name(run), self.ledger.spec(run.task.step))
-        else {
-            return false;
-        };
-        let saved_by = match spec.gang {
-            true => run.task.step.task(0),
-            false => run.task,
-        };
-        let checkpoint = self.ledger.task(saved_by).map(|t| t.checkpoint.clone());
-        let (owner, life) = (&mut *self, Life::Ordered);
+    /// Commits room for a run. It is ordered once its record is written, or at
+    /// once while the table service is away.
+    pub(crate) fn decide_start(&mut self, run: RunRef, server: ServerIx, cx: &mut Cx<'_>) {
+        let owner = &mut *self;
         accounts::begin(
             &mut owner.ledger,
             &mut owner.fleet,
             &mut owner.accounts,
             run,
             server,
-            life,
+            Life::Planned,
             cx.now(),
         );
-        self.fleet.get_mut(server).leased(until, timing);
         self.note_start(run, server, cx);
-        let payload = self.ledger.jobs.get(&run.task.step.job);
-        let payload = payload.map(|job| job.graph.payload.clone());
+        self.mark(run.task.step.job);
+        if cx.term.may_start_unrecorded(cx.settings, cx.now()) {
+            self.order_unrecorded(run, cx);
+        }
+    }
+
+    fn order_unrecorded(&mut self, run: RunRef, cx: &mut Cx<'_>) {
+        self.commits.unrecorded_at = Some(cx.now());
+        self.order_start(run, cx);
+    }
+
+    /// Orders a planned run.
+    pub(crate) fn order_start(&mut self, run: RunRef, cx: &mut Cx<'_>) {
+        let timing = &cx.settings.timing;
+        let Some(placed) = self.ledger.runs.get(&run) else {
+            return;
+        };
+        if placed.life != Life::Planned || !cx.term.may_order(cx.settings, cx.now()) {
+            return;
+        }
+        let server = placed.server;
+        let lease = self.fleet.get(server).lease(timing, cx.now());
+        let Some((until, name)) = lease.zip(self.ledger.name(run)) else {
+            self.run_over(run, cx);
+            return;
+        };
+        let Some((payload, checkpoint, ticket)) = self.start_details(run, server) else {
+            return;
+        };
+        if let Some(placed) = self.ledger.runs.get_mut(&run) {
+            placed.life = Life::Ordered;
+            placed.ordered_at = cx.now();
+            placed.confirmed_at = cx.now();
+        }
+        self.fleet.get_mut(server).leased(until, timing);
         let order = Order::Start {
             run: name,
-            payload: payload.unwrap_or_default(),
+            payload,
             until,
-            checkpoint: checkpoint.unwrap_or_default(),
+            checkpoint,
             ticket,
         };
         self.order(server, order, Sent::Start(run), cx);
-        true
+    }
+
+    /// Payload, checkpoint and ticket of a run.
+    fn start_details(&self, run: RunRef, server: ServerIx) -> Option<(Name, Name, Option<Name>)> {
+        let step = run.task.step;
+        let job = self.ledger.jobs.get(&step.job)?;
+        let gang = self.ledger.spec(step)?.gang;
+        let saved_by = if gang { step.task(0) } else { run.task };
+        let checkpoint = self.ledger.task(saved_by)?.checkpoint.clone();
+        let id = &self.fleet.get(server).listing.id;
+        let ticket = self.ledger.step(step)?.grant.tickets.get(id);
+        let ticket = ticket.map(|(ticket, _)| ticket.clone());
+        Some((job.graph.payload.clone(), checkpoint, ticket))
+    }
+
+    /// Orders what was planned before the table service went away.
+    pub(crate) fn order_planned(&mut self, cx: &mut Cx<'_>) {
+        if !cx.term.may_start_unrecorded(cx.settings, cx.now()) {
+            return;
+        }
+        let planned = self.ledger.runs.iter();
+        let planned = planned.filter(|(_, placed)| placed.life == Life::Planned);
+        let mut runs: Vec<RunRef> = planned.map(|(run, _)| *run).collect();
+        runs.sort_unstable();
+        for run in runs {
+            self.order_unrecorded(run, cx);
+        }
     }
 
     fn note_start(&mut self, run: RunRef, server: ServerIx, cx: &mut Cx<'_>) {
@@ -225,6 +264,11 @@
         let Some(placed) = self.ledger.runs.get_mut(&run) else {
             return;
         };
+        // What was only planned needs no order.
+        if placed.life == Life::Planned {
+            self.run_over(run, cx);
+            return;
+        }
         if placed.life != Life::Stopping {
             placed.life = Life::Stopping;
             placed.stop_acked = None;
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -205,11 +205,12 @@
         let uncertain: Vec<RunRef> = runs
             .filter(|run| {
                 let placed = self.ledger.runs.get(run);
-                placed.is_some_and(|p| p.life == Life::Ordered || p.confirmed_at >= verified)
+                placed.is_some_and(|p| p.life != Life::Planned && p.confirmed_at >= verified)
             })
             .collect();
         for run in uncertain {
             accounts::transfer(&mut self.ledger, &mut self.fleet, run, new);
+            self.mark(run.task.step.job);
         }
         let births = self.fleet.get(old).births + 1;
         self.fleet.get_mut(new).births = births;
@@ -296,6 +297,9 @@
 
     /// Periodic work.
     pub(crate) fn tick(&mut self, cx: &mut Cx<'_>) {
+        let age = cx.settings.timing.majority_age;
+        cx.term.majority = self.has_majority(Some((cx.now(), age)));
+        self.order_planned(cx);
         self.hold_all(cx);
         if cx.now() >= self.next_sweep {
             self.next_sweep = cx.now() + SWEEP;
@@ -308,6 +312,7 @@
 
     /// What follows from the events taken so far.
     pub(crate) fn settle(&mut self, cx: &mut Cx<'_>) {
+        self.judge_records(cx);
         let now = cx.now();
         if self.place_due || now >= self.next_place {
             self.place_due = false;
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -107,8 +107,7 @@
             let Some(job) = self.ledger.jobs.get(&ix) else {
                 continue;
             };
-            let locked = job.row_version > cx.term.confirmed_version;
-            if job.stage.is_final() || locked || (unseen && job.inherited) {
+            if job.stage.is_final() || (unseen && job.inherited) {
                 continue;
             }
             let steps = ready_steps(ix, job);
@@ -436,12 +435,8 @@
             })
             .collect();
         for (index, server, number) in numbered {
-            let id = &self.fleet.get(server).listing.id;
-            let state = self.ledger.step(step);
-            let ticket = state.and_then(|s| s.grant.tickets.get(id));
-            let ticket = ticket.map(|(ticket, _)| ticket.clone());
             pass.take(server, spec.committed());
-            self.start(step.task(index).run(number), server, ticket, cx);
+            self.decide_start(step.task(index).run(number), server, cx);
         }
     }
 
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -10,12 +10,13 @@
 
 use model::{JobId, Name, Resources, Row};
 
+use crate::accounts;
 use crate::event::{CallId, Effect, Failure, Feed, Listing, Stored, Table, content};
 use crate::fleet::{ServerIx, Standing};
-use crate::ledger::{Job, JobIx};
+use crate::ledger::{Job, JobIx, Life, StepRef};
 use crate::notice::Notice;
 use crate::owner::{Cx, Owner};
-use crate::rows::{self, JobKey, Record, Rostered, Submission};
+use crate::rows::{self, Beat, JobKey, PlacedRecord, Record, Rostered, Submission};
 
 /// Rows read by one call.
 const PAGE: u32 = 500;
@@ -50,6 +51,11 @@
     /// When nothing ordered by an earlier owner can run any more.
     unseen_until: Duration,
     reported: bool,
+    /// The table service's clock at the last owner's last sign of life.
+    last_sign: Option<Duration>,
+    /// Whether the records say all that may run; `None` until a majority of
+    /// the backend servers has answered.
+    sighted: Option<bool>,
 }
 
 impl Recovery {
@@ -121,11 +127,13 @@
             rows,
             more,
             version,
+            clock,
         }) = result
         else {
             reading.retry_at = Some(cx.now() + RETRY);
             return true;
         };
+        cx.term.set_clock(*clock, cx.now());
         reading.version.get_or_insert(*version);
         reading.rows.extend(rows.iter().cloned());
         reading.done = !more;
@@ -158,10 +166,24 @@
         self.recovery.follow_at = Some(cx.now());
         self.place_due = true;
         if first {
+            self.note_last_sign(&cell.rows);
             self.log_owner(self.recovery.since, cx);
         }
     }
 
+    /// Reads when the last owner was last known to own.
+    fn note_last_sign(&mut self, rows: &[Row]) {
+        let row = rows.iter().find(|row| row.key == rows::BEAT);
+        let beat = row
+            .and_then(content)
+            .and_then(|bytes| rows::decode::<Beat>(bytes));
+        // Without complete records, the sign counts as endlessly old.
+        self.recovery.last_sign = beat.map(|beat| match beat.recorded {
+            true => beat.clock,
+            false => Duration::ZERO,
+        });
+    }
+
     fn load_roster(&mut self, rows: &[Row], cx: &mut Cx<'_>) {
         let row = rows.iter().find(|row| row.key == rows::ROSTER);
         let Some(bytes) = row.and_then(content) else {
@@ -179,6 +201,7 @@
     }
 
     fn inherit_server(&mut self, entry: Rostered) {
+        let unseen_until = self.recovery.unseen_until;
         let listed = self.fleet.find(&entry.id);
         let same = |ix: &ServerIx| self.fleet.get(*ix).listing.incarnation == entry.incarnation;
         let ix = match listed.filter(same) {
@@ -199,6 +222,7 @@
         let server = self.fleet.get_mut(ix);
         server.inherited = true;
         server.standing = Standing::Rostered;
+        server.lapses_at = unseen_until;
     }
 
     fn load_states(&mut self, rows: &[Row], cx: &mut Cx<'_>) {
@@ -207,7 +231,9 @@
             let id = JobId::from(id.unwrap_or_default());
             let record = content(row).and_then(|bytes| rows::decode::<Record>(bytes));
             match (self.ledger.find(&id), record) {
-                (Some(ix), Some(record)) => self.restore(ix, row.cell.version, &record),
+                (Some(ix), Some(record)) => {
+                    self.restore(ix, row.cell.version, &record, cx.now());
+                }
                 (None, Some(record)) if record.stage.is_final() => {
                     let at = cx.now() + cx.settings.timing.keep_state;
                     self.commits.expire(at, id);
@@ -221,16 +247,49 @@
         }
     }
 
-    fn restore(&mut self, ix: JobIx, version: u64, record: &Record) {
+    fn restore(&mut self, ix: JobIx, version: u64, record: &Record, now: Duration) {
         let Some(job) = self.ledger.jobs.get_mut(&ix) else {
             return;
         };
         job.restore(version, record);
-        if job.stage.is_final() {
+        let over = job.stage.is_final();
+        for ((id, _), runs) in &record.placed {
+            self.restore_runs(ix, id, runs, now);
+        }
+        if over {
             self.mark(ix);
         }
     }
 
+    /// Counts recorded runs on the backend server that may run them, unless it
+    /// is not in use any more.
+    fn restore_runs(&mut self, job: JobIx, id: &Name, runs: &[PlacedRecord], now: Duration) {
+        // An order for one incarnation may have reached the next one.
+        let Some(server) = self.fleet.find(id) else {
+            return;
+        };
+        for &(occurrence, step, index, number) in runs {
+            let step = StepRef {
+                job,
+                occurrence,
+                step,
+            };
+            if let Some(entry) = self.ledger.jobs.get_mut(&job) {
+                entry.open(occurrence);
+            }
+            let owner = &mut *self;
+            accounts::begin(
+                &mut owner.ledger,
+                &mut owner.fleet,
+                &mut owner.accounts,
+                step.task(index).run(number),
+                server,
+                Life::Running,
+                now,
+            );
+        }
+    }
+
     /// Takes in a row of the job table.
     fn take_job_row(&mut self, row: &Row, inherited: bool, cx: &mut Cx<'_>) {
         match (rows::parse_job_key(&row.key), content(row)) {
@@ -243,7 +302,6 @@
                         let version = row.cell.version;
                         let job = Job::new(id, version, submission, inherited, cx.now());
                         self.ledger.insert(job);
-                        self.commits.gate_due |= version > cx.term.confirmed_version;
                         self.place_due = true;
                     }
                     None => cx.log(Notice::RowMalformed {
@@ -332,6 +390,36 @@
         self.settle_inheritance(cx);
     }
 
+    /// Decides whether the records can be trusted, once a majority of the
+    /// backend servers obeys this owner.
+    pub(crate) fn judge_records(&mut self, cx: &mut Cx<'_>) {
+        if self.recovery.sighted.is_some() || !self.recovery.loaded || !self.has_majority(None) {
+            return;
+        }
+        let clock = cx.term.clock(cx.now());
+        let since = self
+            .recovery
+            .last_sign
+            .map(|sign| clock.saturating_sub(sign));
+        let sighted = since.is_none_or(|since| since < cx.settings.timing.sighted);
+        self.recovery.sighted = Some(sighted);
+        self.place_due = true;
+    }
+
+    /// True when a majority of the backend servers in use has answered to this
+    /// owner's epoch, within `age` of now when given.
+    pub(crate) fn has_majority(&self, within: Option<(Duration, Duration)>) -> bool {
+        let (mut heard, mut all) = (0_usize, 0_usize);
+        for ix in self.fleet.live() {
+            let server = self.fleet.get(ix);
+            let recent = within.is_none_or(|(now, age)| now < server.heard_at + age);
+            let used = server.standing != Standing::Found;
+            all += usize::from(used);
+            heard += usize::from(server.standing == Standing::Held && recent);
+        }
+        heard * 2 > all || all == 0
+    }
+
     /// Lets go of what an earlier owner may have started, once nothing of it
     /// can run unseen.
     fn settle_inheritance(&mut self, cx: &mut Cx<'_>) {
@@ -380,6 +468,9 @@
 
     /// Most that any team may have running unseen.
     pub(crate) fn unseen(&self) -> Resources {
+        if !self.may_run_unseen() {
+            return Resources::ZERO;
+        }
         let capacities = self
             .unreached()
             .map(|ix| self.fleet.get(ix).listing.capacity);
@@ -388,6 +479,8 @@
 
     /// True while tasks that an earlier owner ordered may run unseen.
     pub(crate) fn may_run_unseen(&self) -> bool {
-        !self.recovery.loaded || self.unreached().next().is_some()
+        let recorded = self.recovery.sighted == Some(true);
+        let waits = self.recovery.sighted.is_none();
+        !self.recovery.loaded || waits || (!recorded && self.unreached().next().is_some())
     }
 }
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -4,6 +4,7 @@
 //! guessed at.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::format_compact;
@@ -44,6 +45,10 @@
 pub(crate) struct Beat {
     /// Grows with each sign.
     pub(crate) count: u64,
+    /// The table service's clock when it was sent.
+    pub(crate) clock: Duration,
+    /// Every run that its owner had ordered by then was recorded.
+    pub(crate) recorded: bool,
     /// Jobs of each queue of which no task has started.
     pub(crate) pending: BTreeMap<Name, u32>,
 }
@@ -109,8 +114,14 @@
     pub(crate) stage: Stage,
     /// Steps of which something must survive.
     pub(crate) steps: BTreeMap<(Occurrence, StepIndex), StepRecord>,
+    /// Runs that may exist, by backend server and incarnation. Written before
+    /// their orders are sent.
+    pub(crate) placed: BTreeMap<(Name, u64), Vec<PlacedRecord>>,
 }
 
+/// A run that may exist: occurrence, step, task and number.
+pub(crate) type PlacedRecord = (Occurrence, StepIndex, TaskIndex, Attempt);
+
 /// Bytes of a row.
 pub(crate) fn encode<T>(row: &T) -> Bytes
 where
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -20,9 +20,18 @@
     /// Time without a confirmed write after which an owner asks for a
     /// successor.
     pub handover: Duration,
-    /// How long an owner goes on without a confirmed write; covers the outages
-    /// of the table service that the operators expect.
+    /// How long an owner goes on without a confirmed write and without hearing
+    /// a majority of its backend servers.
     pub validity: Duration,
+    /// Time without a confirmed write after which an owner that hears a
+    /// majority of its backend servers starts tasks unrecorded; at least
+    /// `sighted` and `majority_age` together.
+    pub unrecorded: Duration,
+    /// Time since the last owner's last sign of life up to which a successor
+    /// that has called a majority of the backend servers may trust the records.
+    pub sighted: Duration,
+    /// Age of an answer up to which a backend server counts as heard.
+    pub majority_age: Duration,
     /// Longest time without a confirmed write in which an owner takes on a
     /// backend server that it has not called before; less than
     /// `hinted_silence`.
@@ -66,7 +75,10 @@
             silence: ms(1_500),
             hinted_silence: ms(650),
             handover: ms(700),
-            validity: ms(8_000),
+            validity: ms(3_000),
+            unrecorded: ms(2_600),
+            sighted: ms(2_050),
+            majority_age: ms(500),
             fresh: ms(600),
             lease: ms(5_000),
             lease_max: ms(10_000),
--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -53,10 +53,12 @@
     pub(crate) current_at: Duration,
     /// When the last write confirmed under this term was sent.
     pub(crate) confirmed_at: Duration,
-    /// Version of that write.
-    pub(crate) confirmed_version: u64,
     /// When this VM was last found to have been suspended.
     woke_at: Duration,
+    /// The table service's clock, and when it was at least that.
+    clock: (Duration, Duration),
+    /// A majority of the backend servers obeys this owner.
+    pub(crate) majority: bool,
     /// When the owner was last known to be in trouble.
     hinted_at: Option<Duration>,
     /// Delay of this VM's claims.
@@ -76,8 +78,9 @@
             changed_at: None,
             current_at: Duration::ZERO,
             confirmed_at: Duration::ZERO,
-            confirmed_version: 0,
             woke_at: Duration::ZERO,
+            clock: (Duration::ZERO, Duration::ZERO),
+            majority: false,
             hinted_at: None,
             delay: delay.min(MAX_CLAIM_DELAY) + CLAIM_JITTER.mul_f64(rng.f64()),
         }
@@ -99,6 +102,25 @@
         self.woke_at = now;
     }
 
+    /// Takes in the table service's clock.
+    pub(crate) fn set_clock(&mut self, clock: Duration, now: Duration) {
+        if clock >= self.clock.0 {
+            self.clock = (clock, now);
+        }
+    }
+
+    /// The table service's clock now, as far as is known.
+    pub(crate) fn clock(&self, now: Duration) -> Duration {
+        self.clock.0 + now.saturating_sub(self.clock.1)
+    }
+
+    /// True when tasks may be started before their records are written: the
+    /// table service is away, and no successor can have the majority.
+    pub(crate) fn may_start_unrecorded(&self, settings: &Settings, now: Duration) -> bool {
+        let away = now >= self.confirmed_at + settings.timing.unrecorded;
+        away && self.majority && self.may_order(settings, now)
+    }
+
     /// True while orders may be sent.
     pub(crate) fn may_order(&self, settings: &Settings, now: Duration) -> bool {
         self.is_valid(settings, now) && self.confirmed_at >= self.woke_at
@@ -106,7 +128,8 @@
 
     /// True while the term goes on.
     pub(crate) fn is_valid(&self, settings: &Settings, now: Duration) -> bool {
-        self.is_owning() && now < self.confirmed_at + settings.timing.validity
+        let confirmed = now < self.confirmed_at + settings.timing.validity;
+        self.is_owning() && (confirmed || self.majority)
     }
 
     /// True while no other VM can have claimed yet.
@@ -115,9 +138,8 @@
     }
 
     /// Records a write that was confirmed under this term.
-    pub(crate) fn confirm(&mut self, sent: Duration, version: u64) {
+    pub(crate) fn confirm(&mut self, sent: Duration) {
         self.confirmed_at = self.confirmed_at.max(sent);
-        self.confirmed_version = self.confirmed_version.max(version);
     }
 
     /// Takes in a row of the cell table; true when the owner changed.
@@ -213,7 +235,7 @@
         self.owner_version = version;
         self.beat_version = version;
         self.confirmed_at = sent;
-        self.confirmed_version = version;
+        self.majority = false;
     }
 
     /// This VM does not own, or not any more. What it knows is read anew.
--- a/crates/standin/src/graphs/checks.rs
+++ b/crates/standin/src/graphs/checks.rs
@@ -93,7 +93,8 @@
 
 impl Truth {
     /// Takes in what happened on a backend server at a time; `in_touch` says
-    /// whether the VMs have reached the table service for a while.
+    /// whether the VMs have reached the table service for a while and the order
+    /// is not a late one.
     pub(crate) fn note(
         &mut self,
         at: usize,
@@ -147,7 +148,8 @@
         if client.refused && client.accepted.is_none() && !client.asked_unknown {
             broken.push(Broken::Refused(name()));
         }
-        // The bound holds for owners that are in touch with the table service.
+        // The bound holds for owners that are in touch with the table service,
+        // and not for orders that are carried out late.
         if in_touch && client.cancelled.is_some_and(|at| now > at + CANCEL_TIME) {
             broken.push(Broken::Cancelled(name()));
         }
--- a/crates/standin/src/graphs/store.rs
+++ b/crates/standin/src/graphs/store.rs
@@ -30,6 +30,8 @@
     /// Changes up to this version are no longer known.
     forgotten: u64,
     pub(crate) waiters: Vec<Waiter>,
+    /// Its steady clock.
+    pub(crate) clock: Duration,
 }
 
 impl Store {
@@ -61,7 +63,10 @@
             let entry = (version, write.key.clone(), write.value.clone());
             self.log.push(entry);
         }
-        Ok(Stored::Applied(version))
+        Ok(Stored::Applied {
+            version,
+            clock: self.clock,
+        })
     }
 
     /// Reads rows of a table.
@@ -85,6 +90,7 @@
             rows,
             more,
             version: self.version,
+            clock: self.clock,
         }
     }
 
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -116,6 +116,8 @@
     owned_at: Duration,
     /// Until when VMs count as out of touch with the table service.
     out_of_touch_until: Duration,
+    /// A late order is being carried out.
+    late: bool,
     trace: bool,
 }
 
@@ -193,6 +195,7 @@
             report: Report::default(),
             owned_at: Duration::ZERO,
             out_of_touch_until: Duration::ZERO,
+            late: false,
             trace: false,
             rng,
         };
@@ -271,6 +274,7 @@
                 break;
             }
             self.now = self.now.max(time);
+            self.store.clock = self.now;
             if let Some(action) = self.actions.remove(&seq) {
                 self.act(action);
                 self.watch();
@@ -330,7 +334,9 @@
             }
             Action::LateOrder(server, incarnation, epoch, order) => {
                 if self.servers[server].incarnation == incarnation {
+                    self.late = true;
                     self.obey(0, u64::MAX, 0, server, epoch, &order);
+                    self.late = false;
                 }
             }
             Action::Answer(vm, process, call, server, epoch) => {
@@ -401,7 +407,9 @@
     fn carry_out(&mut self, vm: usize, process: u64, effect: Effect) {
         match effect {
             Effect::Reply { caller, reply } => self.replied(vm, caller, reply),
-            Effect::Commit { call, transaction } => self.commit(vm, process, call, transaction),
+            Effect::Commit {
+                call, transaction, ..
+            } => self.commit(vm, process, call, transaction),
             Effect::Scan {
                 call,
                 table,
@@ -639,7 +647,7 @@
 
     fn note(&mut self, server: usize, happenings: &[Happening]) {
         let mut broken = Vec::new();
-        let in_touch = self.now >= self.out_of_touch_until;
+        let in_touch = self.now >= self.out_of_touch_until && !self.late;
         for happening in happenings {
             if self.trace {
                 println!("{:?} s{server} {happening:?}", self.now);
