--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -235,6 +235,16 @@
         }
         self.keep_checkpoint(run.task, &progress.checkpoint);
         self.job_started(run.task.step.job, cx);
+        self.stop_if_over(run, cx);
+    }
+
+    /// Stops a run of a job that has ended. Records can bring such a run back
+    /// after a takeover.
+    fn stop_if_over(&mut self, run: RunRef, cx: &mut Cx<'_>) {
+        let job = self.ledger.jobs.get(&run.task.step.job);
+        if job.is_some_and(|job| job.stage.is_final()) && !self.is_stopping(run) {
+            self.stop(run, "its job has ended", cx);
+        }
     }
 
     /// Takes over a run that this owner did not order.
@@ -267,9 +277,7 @@
             .is_some_and(|s| s.speculative);
         let task = self.ledger.task(run.task);
         let unwanted = task.is_some_and(|t| t.done || (t.runs.len() > 1 && !speculative));
-        let job = self.ledger.jobs.get(&run.task.step.job);
-        let over = job.is_some_and(|job| job.stage.is_final());
-        if unwanted || over {
+        if unwanted {
             self.stop(run, "it is not wanted any more", cx);
         }
     }
--- a/crates/standin/src/graphs/checks.rs
+++ b/crates/standin/src/graphs/checks.rs
@@ -18,6 +18,8 @@
 pub(crate) const TEAM_LIMIT: u32 = 24_000;
 /// Time after the acknowledgement of a cancellation in which tasks may start.
 const CANCEL_TIME: Duration = Duration::from_secs(3);
+/// Time after that in which they may still be stopping.
+const STOP_TIME: Duration = Duration::from_millis(400);
 
 /// A broken promise.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -43,6 +45,9 @@
     /// A start after the job was cancelled.
     #[error("{0}: started after it was cancelled")]
     Cancelled(String),
+    /// A task that runs on after its job was cancelled.
+    #[error("{0}: runs on after it was cancelled")]
+    RunsOn(String),
     /// A start of a job that was refused.
     #[error("{0}: started though refused")]
     Refused(String),
@@ -251,6 +256,25 @@
         failed.any(|(_, runs)| runs.len() as u32 >= MAX_ATTEMPTS)
     }
 
+    /// Checks that nothing of a cancelled job runs on.
+    pub(crate) fn cancelled(
+        &self,
+        clients: &Clients,
+        servers: &[Server],
+        now: Duration,
+    ) -> Vec<Broken> {
+        let over = |task: &&TaskName| {
+            let client = clients.get(&task.job);
+            let cancelled = client.and_then(|client| client.cancelled);
+            cancelled.is_some_and(|at| now > at + CANCEL_TIME + STOP_TIME)
+        };
+        let up = servers.iter().filter(|server| server.up);
+        let live = up.flat_map(|server| server.live.keys());
+        live.filter(over)
+            .map(|task| Broken::RunsOn(text(task)))
+            .collect()
+    }
+
     /// Checks that every accepted job came to its end.
     pub(crate) fn settle(&self, clients: &Clients, servers: &[Server]) -> Vec<Broken> {
         let mut broken = Vec::new();
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -35,6 +35,9 @@
 const TIMEOUT: Duration = Duration::from_millis(700);
 /// Period at which a caller asks for the state of its jobs.
 const ASK_PERIOD: Duration = Duration::from_millis(700);
+/// Time after the last fault from which time bounds hold everywhere: that a
+/// bound of cancelling takes, and that late orders take to come out.
+const CALM_AFTER: Duration = Duration::from_secs(8);
 /// Time in touch after which time bounds hold again.
 const CONTACT: Duration = Duration::from_secs(3);
 /// When the callers stop handing in jobs.
@@ -116,6 +119,8 @@
     owned_at: Duration,
     /// Until when VMs count as out of touch with the table service.
     out_of_touch_until: Duration,
+    /// When no fault has been near for a while.
+    calm_from: Duration,
     /// A late order is being carried out.
     late: bool,
     trace: bool,
@@ -195,6 +200,7 @@
             report: Report::default(),
             owned_at: Duration::ZERO,
             out_of_touch_until: Duration::ZERO,
+            calm_from: Duration::ZERO,
             late: false,
             trace: false,
             rng,
@@ -364,6 +370,13 @@
             self.advance(server);
         }
         self.expire_waiters();
+        if self.now >= self.calm_from {
+            let broken = self.truth.cancelled(&self.clients, &self.servers, self.now);
+            let now = self.now;
+            self.report
+                .broken
+                .extend(broken.into_iter().map(|b| (now, b)));
+        }
         if self.reaches_store(vm) {
             let asked = self.now;
             self.deliver(vm, process, Event::ConfigCurrent { asked });
@@ -879,6 +892,7 @@
             println!("{:?} begins {fault:?}", self.now);
         }
         self.faults.push(fault);
+        self.calm_from = self.calm_from.max(self.now + fault.lasts() + CALM_AFTER);
         if fault.harms_store() {
             let until = self.now + fault.lasts() + CONTACT;
             self.out_of_touch_until = self.out_of_touch_until.max(until);
