Bound a placement pass; look at silent servers without a lease

Change: a pass computes each server once, looks only at servers with room, stops after 32 blocked steps of a service, and comes at most each 4 ms; a silent server is asked without a lease.

--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -72,9 +72,10 @@
         if server.standing == Standing::Rostered && !fresh {
             return;
         }
-        let until = server
-            .lease(timing, now)
-            .filter(|_| server.standing == Standing::Held);
+        // A silent server is asked without a lease: what is sent to it may count
+        // there, so that its runs would never surely end.
+        let renews = server.standing == Standing::Held && !server.silent;
+        let until = server.lease(timing, now).filter(|_| renews);
         if let Some(until) = until {
             server.leased(until, timing);
         }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -80,7 +80,7 @@
     pub(crate) remote_factor: f64,
     /// Something changed that may let a task start.
     pub(crate) place_due: bool,
-    pub(crate) next_place: Duration,
+    pub(crate) last_place: Duration,
     pub(crate) next_sweep: Duration,
 }
 
@@ -100,7 +100,7 @@
             estimates: Estimates::default(),
             remote_factor: cx.settings.remote_factor,
             place_due: false,
-            next_place: Duration::ZERO,
+            last_place: Duration::ZERO,
             next_sweep: Duration::ZERO,
         };
         cx.out.push(Effect::WatchServers(true));
@@ -314,9 +314,10 @@
     pub(crate) fn settle(&mut self, cx: &mut Cx<'_>) {
         self.judge_records(cx);
         let now = cx.now();
-        if self.place_due || now >= self.next_place {
+        let due = self.place_due && now >= self.last_place + PLACE_PAUSE;
+        if due || now >= self.last_place + PLACE_PERIOD {
             self.place_due = false;
-            self.next_place = now + PLACE_PERIOD;
+            self.last_place = now;
             self.place(cx);
         }
         self.hold_all(cx);
@@ -335,6 +336,9 @@
 
 /// Period of the checks that depend on time alone.
 const SWEEP: Duration = Duration::from_millis(50);
+/// Pause between two placement passes, so that a burst of events does not
+/// cause a pass each.
+const PLACE_PAUSE: Duration = Duration::from_millis(4);
 /// Longest time between two placement passes: tickets and leases change with
 /// time alone.
 const PLACE_PERIOD: Duration = Duration::from_millis(100);
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -7,7 +7,7 @@
 //! Invariant: a pass never commits more of a backend server than is free, and
 //! a task never starts while a run of it may exist.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use model::{Attempt, Name, Resources, Step, StepIndex, TaskIndex};
@@ -23,6 +23,9 @@
 const SHARE_BAND: f64 = 0.05;
 /// Part of a service's backend servers that blocked gangs may keep free.
 const RESERVED_PART: usize = 3;
+/// Blocked steps of one service after which a pass looks at no more: the
+/// service is full, and a pass has to stay short under a long backlog.
+const MAX_BLOCKED: usize = 32;
 /// Priority of work whose queue is no longer configured.
 const DEFAULT_PRIORITY: u32 = 2;
 
@@ -42,24 +45,30 @@
     admission: Option<Admission>,
 }
 
-/// Room left in one pass.
-struct Pass {
-    free: HashMap<ServerIx, Resources>,
-    reserved: HashSet<ServerIx>,
+/// Backend servers of one service that take work, with the room left.
+#[derive(Default)]
+struct Pool {
+    sites: Vec<(ServerIx, Site)>,
+    reserved: usize,
+    blocked: usize,
 }
 
-impl Pass {
-    fn free(&self, ix: ServerIx) -> Resources {
-        self.free.get(&ix).copied().unwrap_or(Resources::ZERO)
+impl Pool {
+    fn site(&mut self, ix: ServerIx) -> Option<&mut Site> {
+        let found = self.sites.binary_search_by_key(&ix, |(ix, _)| *ix);
+        found.ok().map(|at| &mut self.sites[at].1)
     }
 
     fn take(&mut self, ix: ServerIx, each: Resources) {
-        if let Some(free) = self.free.get_mut(&ix) {
-            *free = free.minus(each);
+        if let Some(site) = self.site(ix) {
+            site.free = site.free.minus(each);
         }
     }
 }
 
+/// Room left in one pass, by service.
+type Pass = HashMap<Name, Pool>;
+
 /// Places for the tasks of one step: task and backend server.
 type Plan = Vec<(TaskIndex, ServerIx)>;
 
@@ -186,14 +195,19 @@
 
     fn pass(&self, cx: &Cx<'_>) -> Pass {
         let timing = &cx.settings.timing;
-        let usable = self.fleet.live().filter(|ix| {
-            self.fleet.get(*ix).takes_work(timing, cx.now())
-                && !self.strays.keys().any(|(server, _)| server == ix)
-        });
-        Pass {
-            free: usable.map(|ix| (ix, self.fleet.get(ix).free())).collect(),
-            reserved: HashSet::new(),
+        let mut pass = Pass::new();
+        for ix in self.fleet.live() {
+            let server = self.fleet.get(ix);
+            let strays = self.strays.keys().any(|(other, _)| *other == ix);
+            if !strays && server.takes_work(timing, cx.now()) {
+                let service = server.listing.service.clone();
+                pass.entry(service)
+                    .or_default()
+                    .sites
+                    .push((ix, self.site(ix)));
+            }
         }
+        pass
     }
 
     fn terms(&self, job: &Job, cx: &Cx<'_>) -> Terms {
@@ -217,66 +231,56 @@
         };
         let (graph, team) = (job.graph.clone(), job.team.clone());
         let terms = self.terms(job, cx);
-        let Some(spec) = graph.steps.get(wanted.step.step as usize) else {
+        let (Some(spec), Some(pool)) = (
+            graph.steps.get(wanted.step.step as usize),
+            pass.get_mut(&terms.service),
+        ) else {
             return;
         };
-        let candidates = self.candidates(wanted.step, spec, &terms.service, pass);
-        let usable = self.usable(wanted.step, &candidates, &terms, cx);
+        if pool.blocked >= MAX_BLOCKED {
+            return; // What ranks lower would find no room either.
+        }
         let waiting = self.limited(wanted.step, spec, &team, cx);
         if waiting.is_empty() {
             return;
         }
-        let plan = self.plan(wanted.step, spec, &waiting, &usable, pass);
+        let usable = |ix: ServerIx| self.may_run(wanted.step, spec, ix, Some(&terms), cx);
+        let plan = self.plan(wanted.step, spec, &waiting, pool, usable);
         let complete = plan.len() == waiting.len();
         if !spec.gang || complete {
-            self.start_plan(wanted.step, spec, &plan, pass, cx);
+            self.start_plan(wanted.step, spec, &plan, pool, cx);
         }
         if !complete {
-            self.blocked(wanted, spec, &terms, &candidates, &waiting, pass, cx);
+            self.blocked(wanted, spec, &terms, &waiting, pool, cx);
         }
     }
 
-    /// Backend servers that the step may run on as far as is known.
-    fn candidates(&self, step: StepRef, spec: &Step, service: &Name, pass: &Pass) -> Vec<ServerIx> {
-        let denied = self.ledger.step(step).map(|state| &state.grant.denied);
-        let mut candidates: Vec<ServerIx> = pass
-            .free
-            .keys()
-            .copied()
-            .filter(|ix| {
-                let listing = &self.fleet.get(*ix).listing;
-                listing.service == *service
-                    && spec.committed().fits(&listing.capacity)
-                    && spec
-                        .label
-                        .as_ref()
-                        .is_none_or(|l| listing.labels.contains(l))
-                    && !denied.is_some_and(|denied| denied.contains(&listing.id))
-            })
-            .collect();
-        candidates.sort_unstable();
-        candidates
-    }
-
-    /// Candidates for which the step has a valid ticket, where it needs one.
-    fn usable(
+    /// True when a backend server may run a step as far as is known; with
+    /// `terms`, also that there is a valid ticket where one is needed.
+    fn may_run(
         &self,
         step: StepRef,
-        candidates: &[ServerIx],
-        terms: &Terms,
+        spec: &Step,
+        ix: ServerIx,
+        terms: Option<&Terms>,
         cx: &Cx<'_>,
-    ) -> Vec<ServerIx> {
-        if terms.admission.is_none() {
-            return candidates.to_vec();
-        }
-        let Some(state) = self.ledger.step(step) else {
-            return Vec::new();
-        };
-        let valid = |ix: &ServerIx| {
-            let ticket = state.grant.tickets.get(&self.fleet.get(*ix).listing.id);
-            ticket.is_some_and(|(_, until)| cx.now() < *until)
+    ) -> bool {
+        let listing = &self.fleet.get(ix).listing;
+        let labelled = spec
+            .label
+            .as_ref()
+            .is_none_or(|l| listing.labels.contains(l));
+        let Some(state) = self.ledger.step(step).filter(|_| labelled) else {
+            return false;
         };
-        candidates.iter().copied().filter(valid).collect()
+        let needs_ticket = terms.is_some_and(|terms| terms.admission.is_some());
+        match needs_ticket {
+            true => {
+                let ticket = state.grant.tickets.get(&listing.id);
+                ticket.is_some_and(|(_, until)| cx.now() < *until)
+            }
+            false => !state.grant.denied.contains(&listing.id),
+        }
     }
 
     /// Waiting tasks that the team's limit leaves room for.
@@ -305,49 +309,67 @@
     }
 
     /// Places for as many of the tasks as possible; for a gang all or none.
-    fn plan(
+    fn plan<F>(
         &self,
         step: StepRef,
         spec: &Step,
         waiting: &[TaskIndex],
-        servers: &[ServerIx],
-        pass: &Pass,
-    ) -> Plan {
+        pool: &Pool,
+        allowed: F,
+    ) -> Plan
+    where
+        F: Fn(ServerIx) -> bool,
+    {
+        let each = spec.committed();
+        let roomy = pool.sites.iter().filter(|(_, site)| each.fits(&site.free));
+        let usable = roomy.filter(|(ix, _)| allowed(*ix));
+        let sites: Vec<(ServerIx, Site, u32)> = usable
+            .map(|(ix, site)| {
+                (
+                    *ix,
+                    self.seen_from(spec, *ix, *site),
+                    self.count_there(*ix, step),
+                )
+            })
+            .collect();
         if spec.gang && spec.one_rack {
-            let mut racks: Vec<&Name> = servers
-                .iter()
-                .map(|ix| &self.fleet.get(*ix).listing.rack)
-                .collect();
-            racks.sort_unstable();
-            racks.dedup();
-            for rack in racks {
-                let within = |ix: &ServerIx| self.fleet.get(*ix).listing.rack == *rack;
-                let there: Vec<ServerIx> = servers.iter().copied().filter(within).collect();
-                let plan = self.fill(step, spec, waiting, &there, pass);
-                if plan.len() == waiting.len() {
-                    return plan;
-                }
+            let plan = self.fill_one_rack(step, spec, waiting, &sites);
+            if plan.len() == waiting.len() {
+                return plan;
             }
         }
-        let plan = self.fill(step, spec, waiting, servers, pass);
+        let plan = self.fill(step, spec, waiting, sites);
         match spec.gang && plan.len() < waiting.len() {
             true => Plan::new(),
             false => plan,
         }
     }
 
+    fn fill_one_rack(
+        &self,
+        step: StepRef,
+        spec: &Step,
+        waiting: &[TaskIndex],
+        sites: &[(ServerIx, Site, u32)],
+    ) -> Plan {
+        let rack = |ix: ServerIx| &self.fleet.get(ix).listing.rack;
+        let mut racks: Vec<&Name> = sites.iter().map(|(ix, _, _)| rack(*ix)).collect();
+        racks.sort_unstable();
+        racks.dedup();
+        let plans = racks.into_iter().map(|name| {
+            let there = sites.iter().filter(|(ix, _, _)| rack(*ix) == name);
+            self.fill(step, spec, waiting, there.copied().collect())
+        });
+        plans.max_by_key(Vec::len).unwrap_or_default()
+    }
+
     fn fill(
         &self,
         step: StepRef,
         spec: &Step,
         waiting: &[TaskIndex],
-        servers: &[ServerIx],
-        pass: &Pass,
+        mut sites: Vec<(ServerIx, Site, u32)>,
     ) -> Plan {
-        let mut sites: Vec<(ServerIx, Site, u32)> = servers
-            .iter()
-            .map(|ix| (*ix, self.site(*ix, spec, pass), self.count_there(*ix, step)))
-            .collect();
         let kind = match () {
             () if spec.fills => Kind::Filling,
             () if spec.long_running => Kind::Serving,
@@ -380,12 +402,9 @@
         plan
     }
 
-    fn site(&self, ix: ServerIx, spec: &Step, pass: &Pass) -> Site {
+    /// A backend server as any task sees it.
+    fn site(&self, ix: ServerIx) -> Site {
         let server = self.fleet.get(ix);
-        let far = spec
-            .data_rack
-            .as_ref()
-            .is_some_and(|rack| *rack != server.listing.rack);
         let (mut serving, mut filling) = (0, 0);
         for run in &server.runs {
             if let Some(other) = self.ledger.spec(run.task.step) {
@@ -394,16 +413,26 @@
             }
         }
         Site {
-            free: pass.free(ix),
+            free: server.free(),
             capacity: server.listing.capacity,
             slowness: server.slowness,
-            distance: if far { self.remote_factor } else { 1.0 },
+            distance: 1.0,
             serving,
             filling,
             avoid: false,
         }
     }
 
+    /// A backend server as the tasks of one step see it.
+    fn seen_from(&self, spec: &Step, ix: ServerIx, site: Site) -> Site {
+        let rack = &self.fleet.get(ix).listing.rack;
+        let far = spec.data_rack.as_ref().is_some_and(|data| data != rack);
+        Site {
+            distance: if far { self.remote_factor } else { 1.0 },
+            ..site
+        }
+    }
+
     /// Tasks of a step that a backend server holds.
     fn count_there(&self, ix: ServerIx, step: StepRef) -> u32 {
         let runs = self.fleet.get(ix).runs.iter();
@@ -415,7 +444,7 @@
         step: StepRef,
         spec: &Step,
         plan: &Plan,
-        pass: &mut Pass,
+        pool: &mut Pool,
         cx: &mut Cx<'_>,
     ) {
         let base = cx.term.epoch().saturating_sub(1) * ATTEMPTS_PER_EPOCH;
@@ -435,44 +464,52 @@
             })
             .collect();
         for (index, server, number) in numbered {
-            pass.take(server, spec.committed());
+            pool.take(server, spec.committed());
             self.decide_start(step.task(index).run(number), server, cx);
         }
     }
 
     /// A step that could not start whole: asks for tickets, and keeps room.
-    #[expect(clippy::too_many_arguments, reason = "one pass hands its state on")]
     fn blocked(
         &mut self,
         wanted: &Wanted,
         spec: &Step,
         terms: &Terms,
-        candidates: &[ServerIx],
         waiting: &[TaskIndex],
-        pass: &mut Pass,
+        pool: &mut Pool,
         cx: &mut Cx<'_>,
     ) {
+        let step = wanted.step;
         let first = self
             .ledger
-            .step(wanted.step)
+            .step(step)
             .is_some_and(|state| state.grant.allowed.is_empty() && state.grant.denied.is_empty());
-        let left = self.left(wanted.step, waiting);
-        let plan = self.plan(wanted.step, spec, &left, candidates, pass);
+        let left = self.left(step, waiting);
+        let allowed = |ix: ServerIx| self.may_run(step, spec, ix, None, cx);
+        let plan = self.plan(step, spec, &left, pool, allowed);
         if let Some(admission) = terms.admission.filter(|_| first || !plan.is_empty()) {
-            let named: Vec<ServerIx> = match first {
-                true => candidates.to_vec(),
-                false => self.with_room(spec, candidates, pass),
-            };
-            self.ask_advice(wanted.step, terms.priority, admission, &named, cx);
+            let each = spec.committed();
+            let named: Vec<ServerIx> = pool
+                .sites
+                .iter()
+                .filter(|(_, site)| match first {
+                    true => each.fits(&site.capacity),
+                    false => each.fits(&site.free),
+                })
+                .map(|(ix, _)| *ix)
+                .filter(|ix| self.may_run(step, spec, *ix, None, cx))
+                .collect();
+            self.ask_advice(step, terms.priority, admission, &named, cx);
         }
-        if first {
+        if first && terms.admission.is_some() {
             return; // Nothing is known of where it may run.
         }
+        pool.blocked += usize::from(plan.is_empty());
         for (_, server) in &plan {
-            pass.take(*server, spec.committed());
+            pool.take(*server, spec.committed());
         }
         if spec.gang && plan.is_empty() {
-            self.reserve(spec, candidates, waiting.len(), &terms.service, pass);
+            self.reserve(step, spec, waiting.len(), pool, cx);
         }
     }
 
@@ -485,43 +522,27 @@
         waiting.iter().copied().filter(waits).collect()
     }
 
-    fn with_room(&self, spec: &Step, candidates: &[ServerIx], pass: &Pass) -> Vec<ServerIx> {
-        let each = spec.committed();
-        let fits = |ix: &ServerIx| each.fits(&pass.free(*ix));
-        candidates.iter().copied().filter(fits).collect()
-    }
-
     /// Keeps the emptiest backend servers from lower-ranked work until a gang
     /// of `count` tasks fits.
-    fn reserve(
-        &self,
-        spec: &Step,
-        candidates: &[ServerIx],
-        count: usize,
-        service: &Name,
-        pass: &mut Pass,
-    ) {
-        let there = pass
-            .free
-            .keys()
-            .filter(|ix| self.fleet.get(**ix).listing.service == *service)
-            .count();
-        let most = there / RESERVED_PART;
+    fn reserve(&self, step: StepRef, spec: &Step, count: usize, pool: &mut Pool, cx: &Cx<'_>) {
+        let most = pool.sites.len() / RESERVED_PART;
         let each = spec.committed();
-        let mut ordered: Vec<ServerIx> = candidates.to_vec();
-        ordered.sort_by_key(|ix| {
-            let free = pass.free(*ix);
-            (std::cmp::Reverse((free.accelerators, free.millicpus)), *ix)
+        let able = pool.sites.iter().filter(|(ix, site)| {
+            each.fits(&site.capacity) && self.may_run(step, spec, *ix, None, cx)
+        });
+        let mut able: Vec<(ServerIx, Site)> = able.copied().collect();
+        able.sort_by_key(|(ix, site)| {
+            let free = (site.free.accelerators, site.free.millicpus);
+            (std::cmp::Reverse(free), *ix)
         });
         let mut left = count as u32;
-        for ix in ordered {
-            let capacity = self.fleet.get(ix).listing.capacity;
-            if left == 0 || pass.reserved.len() >= most {
+        for (ix, site) in able {
+            if left == 0 || pool.reserved >= most {
                 return;
             }
-            left = left.saturating_sub(copies(&each, &capacity));
-            pass.reserved.insert(ix);
-            pass.free.insert(ix, Resources::ZERO);
+            left = left.saturating_sub(copies(&each, &site.capacity));
+            pool.reserved += 1;
+            pool.take(ix, Resources::UNLIMITED);
         }
     }
 }
--- a/crates/standin/src/graphs/faults.rs
+++ b/crates/standin/src/graphs/faults.rs
@@ -35,11 +35,13 @@
     GreyServers,
     /// Backend servers drain and leave.
     LeavingServers,
+    /// Backend servers are lost for good, without a word.
+    LostServers,
 }
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::KillOwner,
         Self::KillAll,
         Self::FreezeOwner,
@@ -54,6 +56,7 @@
         Self::LateOrders,
         Self::GreyServers,
         Self::LeavingServers,
+        Self::LostServers,
     ];
 
     /// True when VMs lose touch with the table service.
@@ -80,7 +83,7 @@
             Self::CrashServers => 2_000,
             Self::LateOrders => 4_000,
             Self::GreyServers => 5_000,
-            Self::LeavingServers => 3_000,
+            Self::LeavingServers | Self::LostServers => 3_000,
         };
         Duration::from_millis(ms)
     }
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -915,7 +915,8 @@
             }
             Fault::StoreShutsOwnerOut | Fault::CutDataCentre => self.struck = self.owner(),
             Fault::StoreForgets => self.store.forget_history(),
-            Fault::CrashServers => self.crash(),
+            Fault::CrashServers => self.crash(&[2, 5]),
+            Fault::LostServers => self.crash(&[4, 7]),
             Fault::GreyServers => {
                 self.servers[1].grey = true;
             }
@@ -979,8 +980,8 @@
         }
     }
 
-    fn crash(&mut self) {
-        for server in [2, 5] {
+    fn crash(&mut self, servers: &[usize]) {
+        for &server in servers {
             self.servers[server].up = false;
             self.servers[server].live.clear();
             self.servers[server].listed = false;
