--- a/crates/sched/src/accounts.rs
+++ b/crates/sched/src/accounts.rs
@@ -54,6 +54,8 @@
         life,
         held: whole,
         ordered_at: now,
+        // A run that is found or recorded was there before any later order.
+        confirmed: life == Life::Running,
         confirmed_at: now,
         percent: 0,
         gauge: 0,
--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -128,11 +128,16 @@
     fn send_beat(&mut self, cx: &mut Cx<'_>) {
         self.commits.next_beat = cx.now() + cx.settings.timing.beat;
         self.commits.beat_count += 1;
+        // Until the jobs are read, what the last owner said still stands.
+        let pending = match self.recovery.loaded {
+            true => self.pending(),
+            false => cx.term.beat.pending.clone(),
+        };
         let beat = Beat {
             count: self.commits.beat_count,
             clock: cx.term.clock(cx.now()),
             recorded: self.commits.unrecorded_at.is_none(),
-            pending: self.pending(),
+            pending,
         };
         let call = cx.call();
         self.commits.beats.insert(call, cx.now());
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -30,7 +30,7 @@
 /// wait about three seconds, and a write takes up to `store_timeout`.
 const RESEND_UNTIL: Duration = Duration::from_millis(1_400);
 /// Age of the owner's figures above which they are not passed on.
-const PENDING_AGE: Duration = Duration::from_secs(6);
+const PENDING_AGE: Duration = Duration::from_secs(4);
 /// Digits of a job id.
 const ID_DIGITS: usize = 16;
 
@@ -200,7 +200,9 @@
     }
 
     fn pending_jobs(&mut self, caller: CallerId, queue: &Queue, cx: &mut Cx<'_>) {
-        let known = cx.term.owner_version > 0 && cx.term.silence() < PENDING_AGE;
+        let age = cx.now.saturating_sub(cx.term.current_at);
+        let current = cx.term.is_owning() || age + cx.term.silence() < PENDING_AGE;
+        let known = cx.term.owner_version > 0 && current;
         let count = cx.term.beat.pending.get(&queue.name).copied().unwrap_or(0);
         match known {
             true => cx.reply(caller, Reply::Pending(count)),
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -76,7 +76,9 @@
     /// Resources committed for it.
     pub(crate) held: Resources,
     pub(crate) ordered_at: Duration,
-    /// When the backend server confirmed it.
+    /// The backend server is known to have had it.
+    pub(crate) confirmed: bool,
+    /// When it was confirmed or ordered last.
     pub(crate) confirmed_at: Duration,
     /// Part of the work done; 100 for a long-running task that serves.
     pub(crate) percent: u8,
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -223,6 +223,7 @@
             Some(placed) if placed.server == ix => {
                 placed.percent = progress.percent;
                 placed.gauge = progress.gauge;
+                placed.confirmed = true;
                 if matches!(placed.life, Life::Planned | Life::Ordered) {
                     placed.life = Life::Running;
                     placed.confirmed_at = cx.now();
@@ -296,6 +297,8 @@
             placed.is_some_and(|placed| match placed.life {
                 Life::Planned | Life::Ordered => false,
                 Life::Running => placed.confirmed_at <= sent,
+                // One that may not have arrived yet needs the stop to have.
+                Life::Stopping if placed.confirmed => placed.confirmed_at <= sent,
                 Life::Stopping => placed.stop_acked.is_some_and(|at| at <= sent),
             })
         };
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -169,6 +169,7 @@
     fn started(&mut self, run: RunRef, server: ServerIx, clock: u64, cx: &mut Cx<'_>) {
         self.fleet.get_mut(server).set_clock(clock, cx.now());
         if let Some(placed) = self.ledger.runs.get_mut(&run) {
+            placed.confirmed = true;
             placed.confirmed_at = cx.now();
             if placed.life == Life::Ordered {
                 placed.life = Life::Running;
--- a/crates/standin/src/graphs/checks.rs
+++ b/crates/standin/src/graphs/checks.rs
@@ -9,7 +9,7 @@
 
 use model::{Attempt, End, JobId, Name, Resources, Run, Stage, TaskName};
 
-use crate::graphs::callers::{Clients, Shape};
+use crate::graphs::callers::{Client, Clients, Shape};
 use crate::graphs::server::{Happening, Server};
 
 /// Failed runs after which a task is given up, in every queue.
@@ -18,6 +18,8 @@
 pub(crate) const TEAM_LIMIT: u32 = 24_000;
 /// Time after the acknowledgement of a cancellation in which tasks may start.
 const CANCEL_TIME: Duration = Duration::from_secs(3);
+/// Age from which an accepted job must show in the count of those that wait.
+const PENDING_AGE: Duration = Duration::from_secs(5);
 /// Time after that in which they may still be stopping.
 const STOP_TIME: Duration = Duration::from_millis(400);
 
@@ -57,6 +59,9 @@
     /// A state that is not true.
     #[error("{0}: shown as {1:?}, which is not true")]
     State(JobId, Stage),
+    /// Too low a count of jobs that wait.
+    #[error("{0}: {1} jobs shown as waiting, of {2}")]
+    Pending(Name, u32, u32),
     /// An accepted job that did not come to its end.
     #[error("{0}: accepted, and not at its end: shown {1:?}")]
     Unfinished(JobId, Option<Stage>),
@@ -81,6 +86,8 @@
     failed: HashMap<TaskName, HashSet<Attempt>>,
     failed_acknowledged: HashMap<TaskName, HashSet<Attempt>>,
     pub(crate) starts: u64,
+    /// Jobs of which a task has started.
+    begun: HashSet<JobId>,
 }
 
 fn text(task: &TaskName) -> String {
@@ -128,6 +135,7 @@
         broken: &mut Vec<Broken>,
     ) {
         self.starts += 1;
+        self.begun.insert(run.task.job.clone());
         let task = &run.task;
         let name = || text(task);
         let copies = servers.iter().filter(|s| s.up && s.live.contains_key(task));
@@ -256,6 +264,24 @@
         failed.any(|(_, runs)| runs.len() as u32 >= MAX_ATTEMPTS)
     }
 
+    /// Checks a count of jobs that wait, as a VM in touch gave it: at least
+    /// half of those that were accepted a while ago and have not begun.
+    pub(crate) fn pending(
+        &self,
+        queue: &str,
+        count: u32,
+        clients: &Clients,
+        now: Duration,
+    ) -> Option<Broken> {
+        let waits = |client: &&Client| {
+            let old = client.accepted.is_some_and(|at| now > at + PENDING_AGE);
+            let begun = self.begun.contains(&client.id);
+            client.queue == queue && old && !begun && !client.cancel_asked
+        };
+        let waiting = clients.values().filter(waits).count() as u32;
+        (count * 2 < waiting).then(|| Broken::Pending(queue.into(), count, waiting))
+    }
+
     /// Checks that nothing of a cancelled job runs on.
     pub(crate) fn cancelled(
         &self,
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -40,6 +40,8 @@
 const CALM_AFTER: Duration = Duration::from_secs(8);
 /// Time in touch after which time bounds hold again.
 const CONTACT: Duration = Duration::from_secs(3);
+/// Period at which the counts of waiting jobs are asked for.
+const PENDING_PERIOD: Duration = Duration::from_millis(37);
 /// When the callers stop handing in jobs.
 const LAST_JOB: Duration = Duration::from_secs(14);
 /// Time left after that for everything to end.
@@ -51,6 +53,7 @@
     Submit(JobId),
     State(JobId),
     Cancel(JobId),
+    Pending(&'static str),
 }
 
 /// Something that happens at a time.
@@ -212,6 +215,9 @@
         for vm in 0..VMS {
             world.begin_process(vm);
         }
+        for queue in ["plain", "gangs"] {
+            world.at(Duration::from_secs(1), Action::Send(Call::Pending(queue)));
+        }
         let mut at = Duration::from_secs(1);
         let mut n = 0;
         while at < LAST_JOB {
@@ -781,9 +787,36 @@
             Call::Submit(id) => self.submitted(&id, &reply),
             Call::State(id) => self.asked(&id, &reply),
             Call::Cancel(id) => self.cancel_answered(&id, &reply),
+            Call::Pending(queue) => {
+                let in_touch = self.now >= self.out_of_touch_until;
+                if let (Reply::Pending(count), true) = (&reply, in_touch) {
+                    let broken = self.truth.pending(queue, *count, &self.clients, self.now);
+                    let now = self.now;
+                    self.report.broken.extend(broken.map(|b| (now, b)));
+                }
+            }
         }
     }
 
+    /// Asks a VM how many jobs of a queue wait, again and again.
+    fn ask_pending(&mut self, vm: usize, queue: &'static str) {
+        self.at(
+            self.now + PENDING_PERIOD,
+            Action::Send(Call::Pending(queue)),
+        );
+        self.next_caller += 1;
+        let caller = self.next_caller;
+        self.vms[vm].callers.insert(caller, Call::Pending(queue));
+        let ask = Ask {
+            host: "host".into(),
+            path: format_compact!("/{queue}/"),
+            key: Some(key::hash("red")),
+            question: Question::State,
+        };
+        let process = self.vms[vm].process;
+        self.later(vm, process, HOP, Event::Ask { caller, ask });
+    }
+
     fn hand_in(&mut self, n: u64) {
         let client = Client::new(n, &mut self.rng);
         let id = client.id.clone();
@@ -803,6 +836,10 @@
             self.at(self.now + ASK_PERIOD, Action::Send(call));
             return;
         };
+        if let Call::Pending(queue) = call {
+            self.ask_pending(vm, queue);
+            return;
+        }
         let (id, question) = match &call {
             Call::Submit(id) => {
                 let graph = self.clients[id].graph.clone();
@@ -819,6 +856,7 @@
                 }
                 (id.clone(), Question::Cancel)
             }
+            Call::Pending(_) => return,
         };
         let client = &self.clients[&id];
         let ask = Ask {
@@ -951,6 +989,8 @@
         entry.process += 1;
         for (_, call) in std::mem::take(&mut entry.callers) {
             let again = match call {
+                // Asked again by itself.
+                Call::Pending(_) => continue,
                 Call::Submit(id) => {
                     if let Some(client) = self.clients.get_mut(&id) {
                         client.asked_unknown = true;
