Order waiting steps by what they can still be worth

Change: policy::rank: in time, late, worthless; then urgent queues, teams below their share, nearest deadline.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub(crate) mod learn;
 pub(crate) mod preempt;
 pub(crate) mod queue;
+pub mod rank;
 pub(crate) mod recover;
 pub(crate) mod select;
 pub(crate) mod tree;
--- /dev/null
+++ b/crates/policy/src/rank.rs
@@ -0,0 +1,73 @@
+//! Order in which waiting steps are offered room.
+//!
+//! The pattern that this answers: when more work waits than fits, an order by
+//! deadline alone spends the room on work that is late anyway, and an order by
+//! priority alone starves what ranks low although it would still be in time.
+//! So work that can still be in time goes first, then work that is worth
+//! something late, then the rest; within these, urgent queues, teams that have
+//! less than their share, and the nearest deadline.
+//!
+//! Invariant: the order is total, and does not depend on anything but its
+//! input.
+
+use std::time::Duration;
+
+/// Multiple of the objective after which a late job is worth nothing.
+const WORTHLESS_AFTER: u32 = 3;
+/// Width of the bands in which teams count as equally served.
+const SHARE_BAND: f64 = 0.05;
+
+/// What is known of a waiting step.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiting {
+    /// When its job arrived.
+    pub since: Duration,
+    /// Time from its arrival to its latency objective.
+    pub objective: Duration,
+    /// Expected time from the start of this step to the end of the job.
+    pub remaining: Duration,
+    /// Zero is urgent.
+    pub priority: u32,
+    /// What its team has running relative to what it is entitled to.
+    pub use_of_share: f64,
+}
+
+/// What the job can still be worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Worth {
+    InTime,
+    Late,
+    Nothing,
+}
+
+/// Rank of a waiting step; the lowest goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    worth: Worth,
+    deferrable: bool,
+    band: u32,
+    deadline: Duration,
+}
+
+impl Waiting {
+    /// Its rank at `now`.
+    #[must_use]
+    pub fn rank(&self, now: Duration) -> Rank {
+        let deadline = self.since + self.objective;
+        let end = now + self.remaining;
+        let worth = match () {
+            () if end <= deadline => Worth::InTime,
+            () if end <= self.since + self.objective * WORTHLESS_AFTER => Worth::Late,
+            () => Worth::Nothing,
+        };
+        // Below its entitlement a team is not held back for having more than
+        // another one.
+        let over = (self.use_of_share - 1.0).max(0.0);
+        Rank {
+            worth,
+            deferrable: self.priority > 0,
+            band: (over / SHARE_BAND) as u32,
+            deadline,
+        }
+    }
+}
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -1,8 +1,7 @@
 //! Placement: which waiting tasks start now, and where.
 //!
-//! Steps are served by the priority of their queue, then by their team's
-//! weighted share, then by deadline. What a higher-ranked step will need soon
-//! is kept from lower-ranked ones.
+//! Steps are served in the order of `policy::rank`. What a higher-ranked step
+//! will need soon is kept from lower-ranked ones.
 //!
 //! Invariant: a pass never commits more of a backend server than is free, and
 //! a task never starts while a run of it may exist.
@@ -12,6 +11,7 @@
 
 use model::{Attempt, Name, Resources, Step, StepIndex, TaskIndex};
 use policy::fit::{self, Kind, Site};
+use policy::rank::{Rank, Waiting};
 
 use crate::config::Admission;
 use crate::event::ATTEMPTS_PER_EPOCH;
@@ -19,8 +19,6 @@
 use crate::ledger::{Job, JobIx, StepRef, StepState};
 use crate::owner::{Cx, Owner};
 
-/// Width of the bands in which teams count as equally served.
-const SHARE_BAND: f64 = 0.05;
 /// Part of a service's backend servers that blocked gangs may keep free.
 const RESERVED_PART: usize = 3;
 /// Blocked steps of one service after which a pass looks at no more: the
@@ -33,9 +31,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Wanted {
     step: StepRef,
-    priority: u32,
-    band: u32,
-    deadline: Duration,
+    rank: Rank,
 }
 
 /// What a step's queue says.
@@ -80,7 +76,7 @@
         }
         self.open_due(cx);
         let mut wanted = self.wanted(cx);
-        wanted.sort_by_key(|w| (w.priority, w.band, w.deadline, w.step));
+        wanted.sort_by_key(|w| (w.rank, w.step));
         let mut pass = self.pass(cx);
         for entry in wanted {
             self.place_step(&entry, &mut pass, cx);
@@ -109,7 +105,7 @@
 
     fn wanted(&mut self, cx: &Cx<'_>) -> Vec<Wanted> {
         let unseen = self.may_run_unseen();
-        let mut bands = HashMap::new();
+        let mut shares = HashMap::new();
         let mut wanted = Vec::new();
         let jobs: Vec<JobIx> = self.ledger.jobs.keys().copied().collect();
         for ix in jobs {
@@ -123,24 +119,19 @@
             if steps.is_empty() {
                 continue;
             }
-            let priority = cx
-                .config
-                .queue(&job.queue)
-                .map_or(DEFAULT_PRIORITY, |q| q.priority);
-            let band = *bands
+            let use_of_share = *shares
                 .entry(job.team.clone())
-                .or_insert_with(|| self.band(&job.team, cx));
-            let deadline = self.deadline(job, cx);
+                .or_insert_with(|| self.use_of_share(&job.team, cx));
+            let waits = self.waits(job, use_of_share, cx);
             for step in steps {
-                self.note_ready(step, cx);
-                wanted.push(Wanted {
-                    step,
-                    priority,
-                    band,
-                    deadline,
-                });
+                let remaining = self.remaining(job, step.step);
+                let rank = Waiting { remaining, ..waits }.rank(cx.now());
+                wanted.push(Wanted { step, rank });
             }
         }
+        for entry in &wanted {
+            self.note_ready(entry.step, cx);
+        }
         wanted
     }
 
@@ -150,40 +141,50 @@
         }
     }
 
-    /// How well a team is served, in bands of its weighted dominant share.
-    fn band(&self, team: &Name, cx: &Cx<'_>) -> u32 {
-        let total = self.fleet.live().fold(Resources::ZERO, |sum, ix| {
+    /// What a team has running relative to its part of the fleet by weight.
+    fn use_of_share(&self, team: &Name, cx: &Cx<'_>) -> f64 {
+        let live = self.fleet.live();
+        let total = live.fold(Resources::ZERO, |sum, ix| {
             sum.plus(self.fleet.get(ix).listing.capacity)
         });
         let weights: u32 = cx.config.teams.iter().map(|team| team.share.max(1)).sum();
         let share = cx.config.team(team).map_or(1, |team| team.share.max(1));
         let entitled = f64::from(share) / f64::from(weights.max(1));
         let used = self.accounts.used(team).dominant_share(&total);
-        // Below its entitlement a team is not held back by having more than
-        // another one.
-        let over = (used / entitled.max(f64::EPSILON) - 1.0).max(0.0);
-        (over / SHARE_BAND) as u32
+        used / entitled.max(f64::EPSILON)
     }
 
-    /// Time until which a job is worth most, by declared run times.
-    fn deadline(&self, job: &Job, cx: &Cx<'_>) -> Duration {
-        let (slack, target) = cx
-            .config
-            .queue(&job.queue)
-            .map_or((1.0, Duration::ZERO), |q| (q.slack, q.latency_target));
-        job.since + target + self.chain(job).mul_f64(slack.max(1.0))
+    /// What every waiting step of a job has in common.
+    fn waits(&self, job: &Job, use_of_share: f64, cx: &Cx<'_>) -> Waiting {
+        let queue = cx.config.queue(&job.queue);
+        let (slack, target) = queue.map_or((1.0, Duration::ZERO), |q| (q.slack, q.latency_target));
+        let chain = (0..job.graph.steps.len() as StepIndex)
+            .map(|step| self.remaining(job, step))
+            .max();
+        let chain = chain.unwrap_or(Duration::ZERO);
+        Waiting {
+            since: job.since,
+            objective: target + chain.mul_f64(slack.max(1.0)),
+            remaining: Duration::ZERO,
+            priority: queue.map_or(DEFAULT_PRIORITY, |queue| queue.priority),
+            use_of_share,
+        }
     }
 
-    /// Longest chain of run times through a job's steps, learned ones where
-    /// they are known.
-    fn chain(&self, job: &Job) -> Duration {
-        let mut ends: Vec<Duration> = Vec::with_capacity(job.graph.steps.len());
-        for step in &job.graph.steps {
-            let before = step.after.iter().filter_map(|p| ends.get(*p as usize));
-            let start = before.max().copied().unwrap_or(Duration::ZERO);
-            ends.push(start + self.expected(step));
+    /// Expected time from the start of a step to the end of its job, by
+    /// learned run times where they are known.
+    fn remaining(&self, job: &Job, from: StepIndex) -> Duration {
+        let steps = &job.graph.steps;
+        let mut ends: Vec<Option<Duration>> = vec![None; steps.len()];
+        for (index, step) in steps.iter().enumerate().skip(from as usize) {
+            let before = step.after.iter().filter_map(|p| *ends.get(*p as usize)?);
+            let start = match index == from as usize {
+                true => Some(Duration::ZERO),
+                false => before.max(),
+            };
+            ends[index] = start.map(|start| start + self.expected(step));
         }
-        ends.into_iter().max().unwrap_or(Duration::ZERO)
+        ends.into_iter().flatten().max().unwrap_or(Duration::ZERO)
     }
 
     /// Expected run time of a task of a step.
