--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -3,9 +3,13 @@
 //! The pattern that this answers: when more work waits than fits, an order by
 //! deadline alone spends the room on work that is late anyway, and an order by
 //! priority alone starves what ranks low although it would still be in time.
-//! So work that can still be in time goes first, then work that is worth
-//! something late, then the rest; within these, urgent queues, teams that have
-//! less than their share, and the nearest deadline.
+//! So urgent queues go first, and within them and the others, work that can
+//! still be in time, then work that is worth something late; then teams that
+//! have less than their share, and the nearest deadline. Work that is worth
+//! nothing any more goes last, whatever its queue.
+//!
+//! Urgent work is short: finishing it late takes little room from the rest,
+//! and not finishing it strands its caller.
 //!
 //! Invariant: the order is total, and does not depend on anything but its
 //! input.
@@ -43,8 +47,9 @@
 /// Rank of a waiting step; the lowest goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
-    worth: Worth,
+    worthless: bool,
     deferrable: bool,
+    worth: Worth,
     band: u32,
     deadline: Duration,
 }
@@ -64,8 +69,9 @@
         // another one.
         let over = (self.use_of_share - 1.0).max(0.0);
         Rank {
-            worth,
+            worthless: worth == Worth::Nothing,
             deferrable: self.priority > 0,
+            worth,
             band: (over / SHARE_BAND) as u32,
             deadline,
         }
--- a/crates/policy/tests/rank.rs
+++ b/crates/policy/tests/rank.rs
@@ -22,7 +22,6 @@
 fn work_that_can_be_in_time_goes_before_work_that_is_late_already() {
     let late = Waiting {
         since: Duration::from_secs(5),
-        priority: 0,
         ..waiting()
     };
 
@@ -45,6 +44,17 @@
     assert!(late.rank(NOW) < lost.rank(NOW));
 }
 
+#[test]
+fn urgent_work_is_finished_though_it_is_late() {
+    let late = Waiting {
+        since: Duration::from_secs(5),
+        priority: 0,
+        ..waiting()
+    };
+
+    assert!(late.rank(NOW) < waiting().rank(NOW));
+}
+
 #[test]
 fn urgent_work_goes_first_among_work_in_time() {
     let urgent = Waiting {
