--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -23,12 +23,9 @@
 /// Gap between events that is reported as a pause.
 const PAUSE: Duration = Duration::from_millis(1_500);
 /// Pause after a read of the cell table that failed.
-const RETRY: Duration = Duration::from_millis(150);
+pub(crate) const RETRY: Duration = Duration::from_millis(150);
 /// Pause after an offer that was not answered.
 const OFFER_RETRY: Duration = Duration::from_millis(300);
-/// Time between readiness turning false and the end of the process, so that
-/// the balancer has noticed.
-const DRAIN_GRACE: Duration = Duration::from_millis(2_500);
 /// Age of the proof of the configuration above which callers are better
 /// served elsewhere.
 const READY_AGE: Duration = Duration::from_millis(3_000);
@@ -36,26 +33,26 @@
 /// The reducer of one entry VM.
 #[derive(Debug)]
 pub struct Node {
-    settings: Settings,
-    time: Time,
+    pub(crate) settings: Settings,
+    pub(crate) time: Time,
     known: Known,
-    term: Term,
-    intake: Intake,
-    owner: Option<Box<Owner>>,
+    pub(crate) term: Term,
+    pub(crate) intake: Intake,
+    pub(crate) owner: Option<Box<Owner>>,
     next_call: CallId,
-    out: Vec<Effect>,
+    pub(crate) out: Vec<Effect>,
     /// Call that reads or follows the cell table.
     cell: Option<CallId>,
     cell_retry: Option<Duration>,
     cell_version: Option<u64>,
     /// Claim under way, when it was sent, and the row that it writes.
     claim: Option<(CallId, Duration, rows::Owner)>,
-    release: Option<CallId>,
+    pub(crate) release: Option<CallId>,
     offering: bool,
     next_offer: Duration,
     errand: Option<CallId>,
-    draining_since: Option<Duration>,
-    exited: bool,
+    pub(crate) draining_since: Option<Duration>,
+    pub(crate) exited: bool,
 }
 
 impl Node {
@@ -214,11 +211,11 @@
         act(&mut self.intake, &mut cx)
     }
 
-    fn log(&mut self, notice: Notice) {
+    pub(crate) fn log(&mut self, notice: Notice) {
         self.out.push(Effect::Log(notice));
     }
 
-    fn call(&mut self) -> CallId {
+    pub(crate) fn call(&mut self) -> CallId {
         self.next_call += 1;
         self.next_call
     }
@@ -395,7 +392,7 @@
         }
     }
 
-    fn reread_cell(&mut self) {
+    pub(crate) fn reread_cell(&mut self) {
         self.term.follow();
         self.cell = None;
         self.cell_version = None;
@@ -509,67 +506,6 @@
         }
     }
 
-    fn shutdown(&mut self) {
-        if self.draining_since.is_some() {
-            return;
-        }
-        self.draining_since = Some(self.time.now);
-        self.log(Notice::ShuttingDown);
-    }
-
-    /// Hands the ownership over, then waits for callers to go elsewhere.
-    fn tick_drain(&mut self) {
-        let Some(since) = self.draining_since.filter(|_| !self.exited) else {
-            return;
-        };
-        let settled = self
-            .owner
-            .as_ref()
-            .is_none_or(|owner| owner.commits.is_idle());
-        let waited = self.time.now >= since + RETRY;
-        if self.term.is_owning() && self.release.is_none() && (settled || waited) {
-            self.send_release();
-        }
-        let idle = self.intake.is_idle() && !self.term.is_owning();
-        if idle && self.time.now >= since + DRAIN_GRACE {
-            self.exited = true;
-            self.log(Notice::Stopped);
-            self.out.push(Effect::Exit);
-        }
-    }
-
-    fn send_release(&mut self) {
-        let mut owner = self.term.owner.clone();
-        owner.released = true;
-        let call = self.call();
-        self.release = Some(call);
-        let transaction = Transaction {
-            conditions: vec![model::Condition {
-                key: rows::OWNER.into(),
-                version: self.term.owner_version,
-            }],
-            writes: vec![Write {
-                key: rows::OWNER.into(),
-                value: Some(rows::encode(&owner)),
-            }],
-        };
-        // No order may follow the write.
-        self.owner = None;
-        self.out.push(Effect::WatchServers(false));
-        self.out.push(Effect::Commit {
-            call,
-            transaction,
-            limit: None,
-        });
-        let epoch = self.term.epoch();
-        self.log(Notice::Released { epoch });
-    }
-
-    fn released(&mut self) {
-        self.release = None;
-        self.reread_cell();
-    }
-
     /// Summary for the readiness page and the operators' command.
     #[must_use]
     pub fn summary(&self) -> model::Name {
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -325,7 +325,7 @@
         self.follow_jobs(cx);
     }
 
-    /// Runs that may exist on a server and are not being stopped.
+    /// True when a run was told to stop.
     pub(crate) fn is_stopping(&self, run: RunRef) -> bool {
         self.ledger
             .runs
