A job that has ended is not taken up again from an older read

Cause: after the table service dropped its history, the owner reads the job table anew. Nothing depends on the size; with one page the window is shorter.

Change: ended jobs are remembered while their state row is kept, and rows of them are passed over. In the schedules a scan takes 500 ms for a second after the history was dropped.

--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -4,7 +4,7 @@
 //! row also on the version that the owner last saw of it, so a write that is
 //! carried out late changes nothing.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -65,6 +65,8 @@
     next_beat: Duration,
     not_before: Duration,
     expiring: VecDeque<(Duration, JobId)>,
+    /// Jobs in `expiring`.
+    ended: HashSet<JobId>,
     failing: bool,
     /// When the last run was ordered whose record was not written; `None` once
     /// all are written.
@@ -78,9 +80,16 @@
 impl Commits {
     /// Plans the removal of a final job's state row.
     pub(crate) fn expire(&mut self, at: Duration, id: JobId) {
+        self.ended.insert(id.clone());
         self.expiring.push_back((at, id));
     }
 
+    /// True when a job has ended and its state row is still there. A read of
+    /// the job table that began before may show it.
+    pub(crate) fn has_ended(&self, id: &JobId) -> bool {
+        self.ended.contains(id)
+    }
+
     /// Time after which a group commit counts as unanswered.
     fn patience(&self) -> Duration {
         let time = Duration::from_secs_f64(self.answer_time * PATIENCE);
@@ -261,7 +270,10 @@
                 .is_some_and(|(at, _)| *at <= now);
             let full = transaction.writes.len() + transaction.conditions.len() >= MAX_ENTRIES;
             match self.commits.expiring.pop_front_if(|_| due && !full) {
-                Some((_, id)) => transaction.writes.push(remove(rows::state_key(&id))),
+                Some((_, id)) => {
+                    self.commits.ended.remove(&id);
+                    transaction.writes.push(remove(rows::state_key(&id)));
+                }
                 None => return,
             }
         }
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -294,7 +294,7 @@
     fn take_job_row(&mut self, row: &Row, inherited: bool, cx: &mut Cx<'_>) {
         match (rows::parse_job_key(&row.key), content(row)) {
             (Some(JobKey::Submission(id)), Some(bytes)) => {
-                if self.ledger.find(&id).is_some() {
+                if self.ledger.find(&id).is_some() || self.commits.has_ended(&id) {
                     return;
                 }
                 match rows::decode::<Submission>(bytes) {
--- a/crates/standin/src/graphs/faults.rs
+++ b/crates/standin/src/graphs/faults.rs
@@ -78,7 +78,7 @@
             Self::StoreDown => 5_000,
             Self::StoreShutsOwnerOut => 6_000,
             Self::StoreLost => 4_000,
-            Self::StoreForgets => 10,
+            Self::StoreForgets => 1_000,
             Self::CutServers | Self::CutDataCentre => 5_500,
             Self::CrashServers => 2_000,
             Self::LateOrders => 4_000,
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -30,6 +30,8 @@
 const HOP: Duration = Duration::from_millis(1);
 /// Time of a transaction.
 const COMMIT: Duration = Duration::from_millis(6);
+/// Time of a scan after the history was dropped, when every reader lists again.
+const SLOW_SCAN: Duration = Duration::from_millis(500);
 /// Period of ticks.
 const TICK: Duration = Duration::from_millis(20);
 /// Lag of the registry.
@@ -488,7 +490,11 @@
                     true => Ok(self.store.scan(table, &from, limit)),
                     false => Err(Failure::Unavailable),
                 };
-                self.later(vm, process, HOP * 4, Event::Stored { call, result });
+                let takes = match self.has(Fault::StoreForgets) {
+                    true => SLOW_SCAN,
+                    false => HOP * 4,
+                };
+                self.later(vm, process, takes, Event::Stored { call, result });
             }
             Effect::Follow {
                 call,
