Long-running work ranks with the urgent work

Cause: a long-running step was ranked by the age of its job, so after seconds it counted as worth nothing and waited behind every backlog.

Change: such steps have no objective to miss; they go with urgent queues.

--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -11,6 +11,9 @@
 //! Urgent work is short: finishing it late takes little room from the rest,
 //! and not finishing it strands its caller.
 //!
+//! Long-running work has no end to be in time for. Its users are without it
+//! until it runs, so it goes with the urgent work, whatever its age.
+//!
 //! Invariant: the order is total, and does not depend on anything but its
 //! input.
 
@@ -32,6 +35,8 @@
     pub remaining: Duration,
     /// Zero is urgent.
     pub priority: u32,
+    /// It runs until it is stopped.
+    pub long_running: bool,
     /// What its team has running relative to what it is entitled to.
     pub use_of_share: f64,
 }
@@ -61,6 +66,7 @@
         let deadline = self.since + self.objective;
         let end = now + self.remaining;
         let worth = match () {
+            () if self.long_running => Worth::InTime,
             () if end <= deadline => Worth::InTime,
             () if end <= self.since + self.objective * WORTHLESS_AFTER => Worth::Late,
             () => Worth::Nothing,
@@ -70,7 +76,7 @@
         let over = (self.use_of_share - 1.0).max(0.0);
         Rank {
             worthless: worth == Worth::Nothing,
-            deferrable: self.priority > 0,
+            deferrable: self.priority > 0 && !self.long_running,
             worth,
             band: (over / SHARE_BAND) as u32,
             deadline,
--- a/crates/policy/tests/rank.rs
+++ b/crates/policy/tests/rank.rs
@@ -12,6 +12,7 @@
         objective: Duration::from_secs(4),
         remaining: Duration::from_secs(2),
         priority: 1,
+        long_running: false,
         use_of_share: 0.5,
     }
 }
@@ -91,3 +92,21 @@
 
     assert!(below.rank(NOW) < above.rank(NOW));
 }
+
+/// A full service, in which tasks that serve users fail and have to come back:
+/// by their age they would count as worth nothing.
+#[test]
+fn long_running_work_comes_back_before_a_backlog() {
+    let came_back = Waiting {
+        since: Duration::ZERO,
+        long_running: true,
+        ..waiting()
+    };
+    let late = Waiting {
+        since: Duration::from_secs(5),
+        ..waiting()
+    };
+
+    assert!(came_back.rank(NOW) < late.rank(NOW));
+    assert!(came_back.rank(NOW) < waiting().rank(NOW));
+}
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -125,7 +125,13 @@
             let waits = self.waits(job, use_of_share, cx);
             for step in steps {
                 let remaining = self.remaining(job, step.step);
-                let rank = Waiting { remaining, ..waits }.rank(cx.now());
+                let spec = job.graph.steps.get(step.step as usize);
+                let waiting = Waiting {
+                    remaining,
+                    long_running: spec.is_some_and(|spec| spec.long_running),
+                    ..waits
+                };
+                let rank = waiting.rank(cx.now());
                 wanted.push(Wanted { step, rank });
             }
         }
@@ -167,6 +173,7 @@
             objective: target + chain.mul_f64(slack.max(1.0)),
             remaining: Duration::ZERO,
             priority: queue.map_or(DEFAULT_PRIORITY, |queue| queue.priority),
+            long_running: false,
             use_of_share,
         }
     }
