Placement passes are bounded by their cost; weak owners hand over

Change: a pass leaves three times its own time to the rest of the loop; expected times are worked out once a second for a job; queues and teams are found by name in one step. An owner that hears from a VM twice as strong, which could own, releases the ownership after 3 s.

--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -13,7 +13,7 @@
 use model::Name;
 
 use crate::event::{
-    Advice, AdviceFault, CallId, CallerId, Effect, Errand, Measure, Reply, Response,
+    Advice, AdviceFault, CallId, CallerId, Effect, Errand, Measure, Offer, Reply, Response,
 };
 use crate::fleet::ServerIx;
 use crate::ledger::StepRef;
@@ -51,6 +51,8 @@
     /// Errand that it carries out.
     busy: Option<CallId>,
     heard: Duration,
+    /// Part of a core that it has; zero while it could not own.
+    strength: f64,
 }
 
 /// Questions and helpers.
@@ -68,6 +70,17 @@
         self.helpers.iter().filter(idle).map(|(name, _)| name)
     }
 
+    /// Strength of the strongest helper.
+    pub(crate) fn strongest(&self) -> f64 {
+        let strengths = self.helpers.values().map(|helper| helper.strength);
+        strengths.fold(0.0, f64::max)
+    }
+
+    /// Questions waiting or under way.
+    pub(crate) fn questions(&self) -> u32 {
+        self.asked.len() as u32
+    }
+
     fn idle_count(&self) -> usize {
         self.idle_helpers().count() + usize::from(self.local.is_none())
     }
@@ -202,15 +215,15 @@
     }
 
     /// Another VM offers to help, and may bring the result of its errand.
-    pub(crate) fn offered(
-        &mut self,
-        caller: CallerId,
-        name: Name,
-        result: Option<(CallId, Result<Advice, AdviceFault>)>,
-        cx: &mut Cx<'_>,
-    ) {
+    pub(crate) fn offered(&mut self, caller: CallerId, offer: Offer, cx: &mut Cx<'_>) {
+        let Offer {
+            helper: name,
+            strength,
+            result,
+        } = offer;
         let helper = self.desk.helpers.entry(name).or_default();
         helper.busy = None;
+        helper.strength = strength;
         helper.heard = cx.now();
         let replaced = helper.offer.replace((caller, cx.now()));
         if let Some((caller, _)) = replaced {
--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -71,6 +71,9 @@
     /// When the last run was ordered whose record was not written; `None` once
     /// all are written.
     pub(crate) unrecorded_at: Option<Duration>,
+    /// Group commits that were applied and that were not.
+    pub(crate) applied: u64,
+    pub(crate) failed: u64,
     /// Mean answer time of group commits in seconds.
     answer_time: f64,
     /// Signs of life that failed since the last one that was confirmed.
@@ -90,6 +93,11 @@
         self.ended.contains(id)
     }
 
+    /// Mean answer time of group commits in ms.
+    pub(crate) fn answer_ms(&self) -> u64 {
+        ms(Duration::from_secs_f64(self.answer_time))
+    }
+
     /// Time after which a group commit counts as unanswered.
     fn patience(&self) -> Duration {
         let time = Duration::from_secs_f64(self.answer_time * PATIENCE);
@@ -362,6 +370,7 @@
     fn batch_applied(&mut self, batch: Batch, version: u64, cx: &mut Cx<'_>) {
         cx.term.confirm(batch.sent);
         self.note_store(None, cx);
+        self.commits.applied += 1;
         self.place_due = true;
         let took = cx.now().saturating_sub(batch.sent);
         self.commits.answer_time += ANSWER_GAIN * (took.as_secs_f64() - self.commits.answer_time);
@@ -422,6 +431,7 @@
 
     /// What was to be written waits again.
     fn redo(&mut self, batch: &Batch, cx: &Cx<'_>) {
+        self.commits.failed += 1;
         for (ix, _) in &batch.jobs {
             self.mark(*ix);
         }
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -85,9 +85,26 @@
     pub services: Vec<Service>,
     /// Teams.
     pub teams: Vec<Team>,
+    queue_by_name: HashMap<Name, usize>,
+    team_by_name: HashMap<Name, usize>,
 }
 
 impl Config {
+    /// A version with these contents.
+    #[must_use]
+    pub fn new(version: u64, queues: Vec<Queue>, services: Vec<Service>, teams: Vec<Team>) -> Self {
+        let queue_names = queues.iter().map(|queue| &queue.name);
+        let team_names = teams.iter().map(|team| &team.name);
+        Self {
+            version,
+            queue_by_name: positions(queue_names),
+            team_by_name: positions(team_names),
+            queues,
+            services,
+            teams,
+        }
+    }
+
     /// The queue for a host and path, and what follows its prefix.
     #[must_use]
     pub fn route<'p>(&self, host: &str, path: &'p str) -> Option<(&Queue, &'p str)> {
@@ -100,13 +117,15 @@
     /// The queue of this name.
     #[must_use]
     pub fn queue(&self, name: &str) -> Option<&Queue> {
-        self.queues.iter().find(|queue| queue.name == name)
+        let position = self.queue_by_name.get(name)?;
+        self.queues.get(*position)
     }
 
     /// The team of this name.
     #[must_use]
     pub fn team(&self, name: &str) -> Option<&Team> {
-        self.teams.iter().find(|team| team.name == name)
+        let position = self.team_by_name.get(name)?;
+        self.teams.get(*position)
     }
 
     /// Teams by the hashes of their keys.
@@ -119,3 +138,14 @@
         self.teams.iter().flat_map(pairs).collect()
     }
 }
+
+/// Position of each name.
+fn positions<'n, I>(names: I) -> HashMap<Name, usize>
+where
+    I: Iterator<Item = &'n Name>,
+{
+    names
+        .enumerate()
+        .map(|(at, name)| (name.clone(), at))
+        .collect()
+}
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -71,6 +71,17 @@
     Helper(Response),
 }
 
+/// A VM's offer to ask the outside policy.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Offer {
+    /// Name of the VM.
+    pub helper: Name,
+    /// Part of a core that it has; zero while it could not own.
+    pub strength: f64,
+    /// Result of its previous errand.
+    pub result: Option<(CallId, Result<Advice, AdviceFault>)>,
+}
+
 /// The owner's answer to a helper, or what became of the offer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Response {
@@ -365,10 +376,8 @@
     Offer {
         /// Where to answer.
         caller: CallerId,
-        /// Its name.
-        helper: Name,
-        /// Result of its previous errand.
-        result: Option<(CallId, Result<Advice, AdviceFault>)>,
+        /// What it says.
+        offer: Offer,
     },
     /// What the owner answered to this VM's offer.
     Helped(Response),
@@ -507,8 +516,8 @@
     Offer {
         /// Its address.
         owner: Name,
-        /// Result of the previous errand.
-        result: Option<(CallId, Result<Advice, AdviceFault>)>,
+        /// What to say.
+        offer: Offer,
     },
     /// Write a log line.
     Log(Notice),
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -182,6 +182,19 @@
     pub(crate) dirty: bool,
     /// When this owner learned of it.
     pub(crate) since: Duration,
+    /// Expected times, worked out now and then.
+    pub(crate) forecast: Option<Forecast>,
+}
+
+/// Expected times of a job.
+#[derive(Clone, Debug)]
+pub(crate) struct Forecast {
+    /// When it was worked out.
+    pub(crate) at: Duration,
+    /// Time from the job's arrival to its latency objective.
+    pub(crate) objective: Duration,
+    /// Expected time from the start of each step to the end of the job.
+    pub(crate) remaining: Vec<Duration>,
 }
 
 impl Job {
@@ -207,6 +220,7 @@
             inherited,
             dirty: false,
             since,
+            forecast: None,
         }
     }
 
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -32,13 +32,14 @@
 pub(crate) mod recover;
 pub(crate) mod rows;
 pub(crate) mod settings;
+pub(crate) mod summary;
 pub(crate) mod term;
 pub(crate) mod verify;
 
 pub use config::{Admission, Config, Queue, Service, Team};
 pub use event::{
     Advice, AdviceFault, Ask, CallId, CallerId, Effect, Errand, Event, Failure, Fault, Feed,
-    Finished, Listing, Lists, Measure, Order, Outcome, Progress, Question, Rejection, Reply,
+    Finished, Listing, Lists, Measure, Offer, Order, Outcome, Progress, Question, Rejection, Reply,
     Response, Stored, Table, Time,
 };
 pub use node::Node;
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -9,8 +9,8 @@
 use model::{Stage, Transaction, Write};
 
 use crate::event::{
-    Advice, AdviceFault, Ask, CallId, CallerId, Effect, Event, Failure, Feed, Reply, Response,
-    Stored, Table, Time,
+    Advice, AdviceFault, Ask, CallId, CallerId, Effect, Event, Failure, Feed, Offer, Reply,
+    Response, Stored, Table, Time,
 };
 use crate::intake::{self, Intake, Known};
 use crate::notice::{Notice, ms};
@@ -132,11 +132,7 @@
         match event {
             Event::Tick => self.tick(),
             Event::Ask { caller, ask } => self.ask(caller, ask),
-            Event::Offer {
-                caller,
-                helper,
-                result,
-            } => self.offered(caller, helper, result),
+            Event::Offer { caller, offer } => self.offered(caller, offer),
             Event::Helped(response) => self.helped(response),
             Event::Config { config, asked } => {
                 let version = config.version;
@@ -228,6 +224,7 @@
         self.with_intake(|intake, cx| intake.tick(cx));
         self.with_owner(|owner, cx| owner.tick(cx));
         self.tick_drain();
+        self.yield_to_stronger();
     }
 
     fn ask(&mut self, caller: CallerId, ask: Ask) {
@@ -414,6 +411,16 @@
         self.owner = Some(Box::new(Owner::new(&mut cx)));
     }
 
+    /// Hands the ownership to a VM that can do the owner's work better. One
+    /// that can't claim leaves it to the next claim, which may be this VM's.
+    fn yield_to_stronger(&mut self) {
+        let owner = self.owner.as_ref().filter(|_| self.release.is_none());
+        let yields = owner.is_some_and(|owner| owner.should_yield(&self.settings, self.time.now));
+        if yields && self.term.is_owning() {
+            self.send_release();
+        }
+    }
+
     /// Drops the owner's state once the term is over.
     fn leave_term(&mut self) {
         let valid = self.term.is_valid(&self.settings, self.time.now);
@@ -447,9 +454,17 @@
 
     fn send_offer(&mut self, result: Option<(CallId, Result<Advice, AdviceFault>)>) {
         self.offering = true;
+        let strength = match self.is_ready() {
+            true => self.settings.strength,
+            false => 0.0,
+        };
         self.out.push(Effect::Offer {
             owner: self.term.owner.address.clone(),
-            result,
+            offer: Offer {
+                helper: self.settings.name.clone(),
+                strength,
+                result,
+            },
         });
     }
 
@@ -491,14 +506,9 @@
         }
     }
 
-    fn offered(
-        &mut self,
-        caller: CallerId,
-        helper: model::Name,
-        result: Option<(CallId, Result<Advice, AdviceFault>)>,
-    ) {
+    fn offered(&mut self, caller: CallerId, offer: Offer) {
         match self.term.is_owning() {
-            true => self.with_owner(|owner, cx| owner.offered(caller, helper, result, cx)),
+            true => self.with_owner(|owner, cx| owner.offered(caller, offer, cx)),
             false => {
                 let reply = Reply::Helper(Response::Idle);
                 self.out.push(Effect::Reply { caller, reply });
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -72,6 +72,33 @@
         servers: u32,
         unreached: u32,
     },
+    /// The owner's state.
+    Summary {
+        jobs: u32,
+        /// Steps with tasks to start, at the last placement pass.
+        waiting: u32,
+        planned: u32,
+        running: u32,
+        stopping: u32,
+        /// Backend servers not yet in the roster row.
+        found: u32,
+        /// Backend servers that have not answered this owner.
+        unreached: u32,
+        held: u32,
+        /// Backend servers that take work.
+        usable: u32,
+        /// Questions to the outside policy, waiting or under way.
+        questions: u32,
+        /// Jobs whose state row is to be written.
+        unwritten: u32,
+        /// Group commits that were applied and that were not, in this term.
+        applied: u64,
+        failed: u64,
+        /// Mean answer time of group commits.
+        answer_ms: u64,
+        /// Tasks of an earlier owner may run unseen.
+        unseen: bool,
+    },
     /// A backend server can be used.
     ServerHeld {
         server: Name,
@@ -207,6 +234,7 @@
             Self::Released { .. } => 343,
             Self::OwnerSeen { .. } => 344,
             Self::Recovered { .. } => 345,
+            Self::Summary { .. } => 346,
             Self::ServerHeld { .. } => 350,
             Self::ServerSilent { .. } => 351,
             Self::ServerLost { .. } => 352,
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -81,7 +81,12 @@
     /// Something changed that may let a task start.
     pub(crate) place_due: bool,
     pub(crate) last_place: Duration,
+    /// Least time between two placement passes, by what one costs.
+    pub(crate) place_pause: Duration,
     pub(crate) next_sweep: Duration,
+    pub(crate) next_summary: Duration,
+    /// Steps with tasks to start, at the last placement pass.
+    pub(crate) waiting_steps: u32,
 }
 
 impl Owner {
@@ -101,7 +106,10 @@
             remote_factor: cx.settings.remote_factor,
             place_due: false,
             last_place: Duration::ZERO,
+            place_pause: Duration::ZERO,
             next_sweep: Duration::ZERO,
+            next_summary: Duration::ZERO,
+            waiting_steps: 0,
         };
         cx.out.push(Effect::WatchServers(true));
         owner.read_rows(cx);
@@ -308,14 +316,15 @@
             self.tick_recovery(cx);
         }
         self.tick_advice(cx);
+        self.summarize(cx);
     }
 
     /// What follows from the events taken so far.
     pub(crate) fn settle(&mut self, cx: &mut Cx<'_>) {
         self.judge_records(cx);
         let now = cx.now();
-        let due = self.place_due && now >= self.last_place + PLACE_PAUSE;
-        if due || now >= self.last_place + PLACE_PERIOD {
+        let due = self.place_due && now >= self.last_place + self.place_pause.max(PLACE_PAUSE);
+        if due || now >= self.last_place + self.place_pause.max(PLACE_PERIOD) {
             self.place_due = false;
             self.last_place = now;
             self.place(cx);
@@ -325,6 +334,12 @@
         self.follow_jobs(cx);
     }
 
+    /// True when a much stronger VM could own and this term has settled.
+    pub(crate) fn should_yield(&self, settings: &Settings, now: Duration) -> bool {
+        let settled = self.recovery.has_lasted(YIELD_AFTER, now) && !self.may_run_unseen();
+        settled && self.desk.strongest() >= settings.strength * MUCH_STRONGER
+    }
+
     /// True when a run was told to stop.
     pub(crate) fn is_stopping(&self, run: RunRef) -> bool {
         self.ledger
@@ -334,6 +349,11 @@
     }
 }
 
+/// Age of a term from which it may be handed to a stronger VM: longer than a
+/// takeover and the questions that tell the owner of its helpers.
+const YIELD_AFTER: Duration = Duration::from_secs(3);
+/// Ratio of strengths that is worth a takeover.
+const MUCH_STRONGER: f64 = 2.0;
 /// Period of the checks that depend on time alone.
 const SWEEP: Duration = Duration::from_millis(50);
 /// Pause between two placement passes, so that a burst of events does not
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -16,7 +16,7 @@
 use crate::config::Admission;
 use crate::event::ATTEMPTS_PER_EPOCH;
 use crate::fleet::ServerIx;
-use crate::ledger::{Job, JobIx, StepRef, StepState};
+use crate::ledger::{Forecast, Job, JobIx, StepRef, StepState};
 use crate::owner::{Cx, Owner};
 
 /// Part of a service's backend servers that blocked gangs may keep free.
@@ -24,6 +24,17 @@
 /// Blocked steps of one service after which a pass looks at no more: the
 /// service is full, and a pass has to stay short under a long backlog.
 const MAX_BLOCKED: usize = 32;
+/// Time of a whole core that a pass spends on each waiting step, as timed with
+/// 2,000 of them.
+const STEP_COST: Duration = Duration::from_micros(2);
+/// Passes take at most one part in this many of the owner's processor time:
+/// the rest is for its calls, without which nothing that was placed starts.
+const PASS_PART: u32 = 4;
+/// Least part of a core that is reckoned with.
+const MIN_STRENGTH: f64 = 0.05;
+/// Age from which expected times are worked out anew: learned run times move
+/// slowly.
+const FORECAST_AGE: Duration = Duration::from_secs(1);
 /// Priority of work whose queue is no longer configured.
 const DEFAULT_PRIORITY: u32 = 2;
 
@@ -77,6 +88,9 @@
         self.open_due(cx);
         let mut wanted = self.wanted(cx);
         wanted.sort_by_key(|w| (w.rank, w.step));
+        self.waiting_steps = wanted.len() as u32;
+        let cost = STEP_COST * self.waiting_steps;
+        self.place_pause = (cost * PASS_PART).div_f64(cx.settings.strength.max(MIN_STRENGTH));
         let mut pass = self.pass(cx);
         for entry in wanted {
             self.place_step(&entry, &mut pass, cx);
@@ -122,17 +136,10 @@
             let use_of_share = *shares
                 .entry(job.team.clone())
                 .or_insert_with(|| self.use_of_share(&job.team, cx));
-            let waits = self.waits(job, use_of_share, cx);
+            self.renew_forecast(ix, cx);
             for step in steps {
-                let remaining = self.remaining(job, step.step);
-                let spec = job.graph.steps.get(step.step as usize);
-                let waiting = Waiting {
-                    remaining,
-                    long_running: spec.is_some_and(|spec| spec.long_running),
-                    ..waits
-                };
-                let rank = waiting.rank(cx.now());
-                wanted.push(Wanted { step, rank });
+                let rank = self.rank(step, use_of_share, cx);
+                wanted.extend(rank.map(|rank| Wanted { step, rank }));
             }
         }
         for entry in &wanted {
@@ -141,6 +148,45 @@
         wanted
     }
 
+    /// Works the expected times of a job out anew when they are old.
+    fn renew_forecast(&mut self, ix: JobIx, cx: &Cx<'_>) {
+        let Some(job) = self.ledger.jobs.get(&ix) else {
+            return;
+        };
+        let fresh = |forecast: &Forecast| cx.now() < forecast.at + FORECAST_AGE;
+        if job.forecast.as_ref().is_some_and(fresh) {
+            return;
+        }
+        let steps = 0..job.graph.steps.len() as StepIndex;
+        let remaining: Vec<Duration> = steps.map(|step| self.remaining(job, step)).collect();
+        let chain = remaining.iter().max().copied().unwrap_or(Duration::ZERO);
+        let queue = cx.config.queue(&job.queue);
+        let (slack, target) = queue.map_or((1.0, Duration::ZERO), |q| (q.slack, q.latency_target));
+        let forecast = Forecast {
+            at: cx.now(),
+            objective: target + chain.mul_f64(slack.max(1.0)),
+            remaining,
+        };
+        if let Some(job) = self.ledger.jobs.get_mut(&ix) {
+            job.forecast = Some(forecast);
+        }
+    }
+
+    fn rank(&self, step: StepRef, use_of_share: f64, cx: &Cx<'_>) -> Option<Rank> {
+        let job = self.ledger.jobs.get(&step.job)?;
+        let forecast = job.forecast.as_ref()?;
+        let queue = cx.config.queue(&job.queue);
+        let waiting = Waiting {
+            since: job.since,
+            objective: forecast.objective,
+            remaining: *forecast.remaining.get(step.step as usize)?,
+            priority: queue.map_or(DEFAULT_PRIORITY, |queue| queue.priority),
+            long_running: job.graph.steps.get(step.step as usize)?.long_running,
+            use_of_share,
+        };
+        Some(waiting.rank(cx.now()))
+    }
+
     fn note_ready(&mut self, step: StepRef, cx: &Cx<'_>) {
         if let Some(state) = self.ledger.step_mut(step) {
             state.ready_since.get_or_insert(cx.now());
@@ -160,24 +206,6 @@
         used / entitled.max(f64::EPSILON)
     }
 
-    /// What every waiting step of a job has in common.
-    fn waits(&self, job: &Job, use_of_share: f64, cx: &Cx<'_>) -> Waiting {
-        let queue = cx.config.queue(&job.queue);
-        let (slack, target) = queue.map_or((1.0, Duration::ZERO), |q| (q.slack, q.latency_target));
-        let chain = (0..job.graph.steps.len() as StepIndex)
-            .map(|step| self.remaining(job, step))
-            .max();
-        let chain = chain.unwrap_or(Duration::ZERO);
-        Waiting {
-            since: job.since,
-            objective: target + chain.mul_f64(slack.max(1.0)),
-            remaining: Duration::ZERO,
-            priority: queue.map_or(DEFAULT_PRIORITY, |queue| queue.priority),
-            long_running: false,
-            use_of_share,
-        }
-    }
-
     /// Expected time from the start of a step to the end of its job, by
     /// learned run times where they are known.
     fn remaining(&self, job: &Job, from: StepIndex) -> Duration {
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// True when the term began at least `age` ago.
+    pub(crate) fn has_lasted(&self, age: Duration, now: Duration) -> bool {
+        now >= self.since + age
+    }
+
     /// True while an earlier owner may still send orders or have sent some
     /// that are carried out.
     pub(crate) fn unseen_at(&self, now: Duration) -> bool {
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -15,7 +15,7 @@
 use model::{JobId, Name, Resources, Stage, Transaction, key};
 use sched::{
     Admission, Advice, CallId, CallerId, Config, Effect, Errand, Event, Failure, Listing, Node,
-    Order, Queue, Reply, Response, Service, Settings, Stored, Team, Time, Timing,
+    Offer, Order, Queue, Reply, Response, Service, Settings, Stored, Team, Time, Timing,
 };
 
 use crate::graphs::callers::{Client, Clients};
@@ -168,7 +168,8 @@
         name: format_compact!("vm-{vm}"),
         process,
         address: format_compact!("{vm}"),
-        strength: 0.25,
+        // The first VM is weaker, so that it hands over to others.
+        strength: if vm == 0 { 0.1 } else { 0.25 },
         remote_factor: 2.0,
         timing: Timing::default(),
     }
@@ -198,15 +199,15 @@
         per_server: Duration::from_millis(1),
         valid: Duration::from_millis(2_000),
     };
-    Config {
-        version: 1,
-        queues: vec![queue("plain", None), queue("gangs", Some(admission))],
-        services: vec![Service {
+    Config::new(
+        1,
+        vec![queue("plain", None), queue("gangs", Some(admission))],
+        vec![Service {
             name: "service".into(),
             standby: false,
         }],
-        teams: vec![team("red"), team("blue"), team("green")],
-    }
+        vec![team("red"), team("blue"), team("green")],
+    )
 }
 
 impl World {
@@ -532,7 +533,7 @@
                 let result = Ok(advise(&errand));
                 self.later(vm, process, errand.takes, Event::Advised { call, result });
             }
-            Effect::Offer { owner, result } => self.offer(vm, process, &owner, result),
+            Effect::Offer { owner, offer } => self.offer(vm, process, &owner, offer),
             Effect::Log(notice) => {
                 if self.trace {
                     println!("{:?} vm-{vm} {notice:?}", self.now);
@@ -621,13 +622,7 @@
         }
     }
 
-    fn offer(
-        &mut self,
-        vm: usize,
-        process: u64,
-        owner: &Name,
-        result: Option<(CallId, Result<Advice, sched::AdviceFault>)>,
-    ) {
+    fn offer(&mut self, vm: usize, process: u64, owner: &Name, offer: Offer) {
         let to: usize = owner.parse().unwrap_or(0);
         let lost = !self.vms[to].up || self.vms[to].frozen || !self.joined(vm, to);
         if lost {
@@ -637,12 +632,7 @@
         self.next_caller += 1;
         let caller = self.next_caller;
         self.vms[to].offers.insert(caller, vm);
-        let helper = format_compact!("vm-{vm}");
-        let event = Event::Offer {
-            caller,
-            helper,
-            result,
-        };
+        let event = Event::Offer { caller, offer };
         let owner_process = self.vms[to].process;
         self.later(to, owner_process, HOP, event);
         // An owner that dies meanwhile never answers.
