Log lines carry the table service's clock; greengagemast trace

Cause: nothing put the lines of several VMs on one request in order: their steady clocks have nothing in common, and the time of day jumps.

Change: each line says the table service's steady clock as far as its VM knows it (table_ms). greengagemast trace ID FILES... orders by it and marks changes of the ownership in between. Started (300) no longer writes the key vm twice. Tests of one owner against scripted answers: the order in which the policy is asked (failed before), handing over to a stronger VM.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -10,6 +10,7 @@
 
 use crate::api::{Api, Failure};
 use crate::show;
+use crate::trace::Trace;
 
 /// Random bytes in a new key, from the operating system.
 const KEY_BYTES: usize = 24;
@@ -68,6 +69,16 @@
                 .about("Why a job waits or where it went")
                 .arg(named("job", "Job id")),
         )
+        .subcommand(
+            Command::new("trace")
+                .about("Lines of many entry VMs' logs on one request, in order")
+                .arg(named("id", "Job id, or another text of its lines"))
+                .arg(
+                    named("files", "Log files")
+                        .num_args(1..)
+                        .value_parser(value_parser!(PathBuf)),
+                ),
+        )
         .subcommand(preset())
         .subcommand(team())
         .subcommand(key_command())
@@ -186,11 +197,32 @@
             let text = show::job(&value);
             (value, text)
         }
+        "trace" => trace(sub)?,
         _ => nested(&api, name, sub, expect).await?,
     };
     Ok(if json { value.to_string() } else { text })
 }
 
+/// Reads log files; nothing is asked of any VM.
+fn trace(args: &ArgMatches) -> Result<(Value, String), Failure> {
+    let id = text_of(args, "id");
+    let mut trace = Trace::default();
+    for path in args.get_many::<PathBuf>("files").into_iter().flatten() {
+        let bytes =
+            std::fs::read(path).map_err(|e| Failure::Input(format!("{}: {e}", path.display())))?;
+        trace.read(&id, &String::from_utf8_lossy(&bytes));
+    }
+    let unread = trace.unread;
+    let mut text = trace.text();
+    match (text.is_empty(), unread) {
+        (true, _) => return Err(Failure::Input(format!("no line on {id}"))),
+        (false, 0) => {}
+        (false, _) => text.push_str(&format!("{unread} lines are not log lines\n")),
+    }
+    let value = json!({ "lines": text.lines().collect::<Vec<_>>() });
+    Ok((value, text))
+}
+
 fn plain(value: Value) -> (Value, String) {
     let text = serde_json::to_string_pretty(&value).unwrap_or_default();
     (value, text)
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,11 +5,13 @@
 pub(crate) mod api;
 pub(crate) mod args;
 pub(crate) mod show;
+pub(crate) mod trace;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
 
 pub use api::Failure;
+pub use trace::Trace;
 
 /// Exit codes for scripts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/ctl/tests/trace.rs
@@ -0,0 +1,54 @@
+//! Lines of several logs put in order.
+
+use ctl::Trace;
+
+const JOB: &str = "00000000000000a1";
+
+/// Two VMs with steady clocks that have nothing in common; the job is
+/// accepted by one and run by the other, which dies.
+fn logs() -> [String; 2] {
+    let first = [
+        r#"{"t_ms":10,"table_ms":1000,"vm":"a","event":330,"what":"accepted","job":"00000000000000a1"}"#,
+        r#"{"t_ms":12,"table_ms":1002,"vm":"a","event":330,"what":"accepted","job":"00000000000000b2"}"#,
+        r#"{"t_ms":900,"table_ms":1900,"vm":"a","event":340,"what":"claiming","epoch":2}"#,
+        r#"{"t_ms":980,"table_ms":1980,"vm":"a","event":360,"what":"start","job":"00000000000000a1","run":1001}"#,
+    ];
+    let second = [
+        "not a log line",
+        r#"  12.3 vm-b {"t_ms":77000,"table_ms":1010,"vm":"b","event":360,"what":"start","job":"00000000000000a1","run":1}"#,
+    ];
+    [first.join("\n"), second.join("\n")]
+}
+
+#[test]
+fn lines_stand_in_the_order_of_the_table_services_clock() {
+    let mut trace = Trace::default();
+
+    for log in logs() {
+        trace.read(JOB, &log);
+    }
+
+    assert_eq!(trace.unread, 1);
+    let text = trace.text();
+    let lines: Vec<&str> = text.lines().map(str::trim_start).collect();
+    assert_eq!(
+        lines,
+        [
+            "0 ms a 330 accepted job=00000000000000a1",
+            "10 ms b 360 start job=00000000000000a1 run=1",
+            "*     900 ms a 340 claiming epoch=2",
+            "980 ms a 360 start job=00000000000000a1 run=1001",
+        ]
+    );
+}
+
+#[test]
+fn an_unknown_id_gives_nothing() {
+    let mut trace = Trace::default();
+
+    for log in logs() {
+        trace.read("ffffffffffffffff", &log);
+    }
+
+    assert!(trace.text().is_empty());
+}
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -61,7 +61,6 @@
     pub fn new(settings: Settings, seed: u64, time: Time) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let started = Notice::Started {
-            vm: settings.name.clone(),
             process: settings.process,
         };
         Self {
@@ -100,6 +99,12 @@
         self.term.is_owning()
     }
 
+    /// The table service's steady clock; zero while it is not known.
+    #[must_use]
+    pub fn table_clock(&self) -> Duration {
+        self.term.clock(self.time.now)
+    }
+
     /// Checks the owner's books.
     #[must_use]
     pub fn verify(&self) -> Vec<Violation> {
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -16,7 +16,7 @@
 #[serde(rename_all = "snake_case", tag = "what")]
 pub enum Notice {
     /// The process runs.
-    Started { vm: Name, process: u64 },
+    Started { process: u64 },
     /// A graceful shutdown began.
     ShuttingDown,
     /// The process ends.
--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -111,7 +111,11 @@
 
     /// The table service's clock now, as far as is known.
     pub(crate) fn clock(&self, now: Duration) -> Duration {
-        self.clock.0 + now.saturating_sub(self.clock.1)
+        let (clock, at) = self.clock;
+        match clock.is_zero() {
+            true => Duration::ZERO,
+            false => clock + now.saturating_sub(at),
+        }
     }
 
     /// True when tasks may be started before their records are written: the
--- /dev/null
+++ b/crates/sched/tests/owner.rs
@@ -0,0 +1,295 @@
+//! One entry VM that owns, against scripted answers.
+
+use std::time::Duration;
+
+use model::{Graph, Resources, Step, key};
+use sched::{
+    Admission, Advice, Ask, CallId, Config, Effect, Event, Feed, Listing, Lists, Node, Notice,
+    Offer, Order, Outcome, Question, Queue, Service, Settings, Stored, Team, Time, Timing,
+};
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(20);
+
+fn settings(strength: f64) -> Settings {
+    Settings {
+        name: "vm".into(),
+        process: 1,
+        address: "vm".into(),
+        strength,
+        remote_factor: 2.0,
+        timing: Timing::default(),
+    }
+}
+
+/// One queue whose steps the outside policy has to allow, with jobs that are
+/// worth nothing 3 s after they came.
+fn config() -> Config {
+    let queue = Queue {
+        name: "queue".into(),
+        host: "host".into(),
+        prefix: "/queue/".into(),
+        service: "service".into(),
+        open: false,
+        priority: 1,
+        max_attempts: 3,
+        slack: 1.0,
+        latency_target: Duration::from_millis(900),
+        admission: Some(Admission {
+            fixed: Duration::from_millis(50),
+            per_server: Duration::from_millis(1),
+            valid: Duration::from_secs(2),
+        }),
+    };
+    let team = Team {
+        name: "team".into(),
+        keys: vec![key::hash("key")],
+        share: 1,
+        limit: Resources::ZERO,
+    };
+    let service = Service {
+        name: "service".into(),
+        standby: false,
+    };
+    Config::new(1, vec![queue], vec![service], vec![team])
+}
+
+fn listing() -> Listing {
+    Listing {
+        id: "server".into(),
+        incarnation: 1,
+        address: "server".into(),
+        service: "service".into(),
+        capacity: Resources::of(64_000, 65_536, 0, 0),
+        ..Listing::default()
+    }
+}
+
+fn graph() -> Graph {
+    let step = Step {
+        tasks: 1,
+        each: Resources::of(1_000, 512, 0, 0),
+        estimate: Duration::from_millis(100),
+        image: "image".into(),
+        ..Step::default()
+    };
+    Graph {
+        payload: "payload".into(),
+        steps: vec![step],
+        recurrence: None,
+    }
+}
+
+/// The VM, the time, and what it did that the script does not answer.
+struct Script {
+    node: Node,
+    now: Duration,
+    version: u64,
+    /// Calls to the outside policy, with the job asked about.
+    asked: Vec<(CallId, model::JobId)>,
+    notices: Vec<Notice>,
+    /// Rows of accepted jobs that the owner has not been told of.
+    accepted: Vec<model::Row>,
+    follow: Option<CallId>,
+}
+
+impl Script {
+    /// A VM that owns and holds one backend server.
+    fn owning(strength: f64) -> Self {
+        let now = Duration::from_secs(100);
+        let time = Time { now, unix: now };
+        let mut script = Self {
+            node: Node::new(settings(strength), 1, time),
+            now,
+            version: 1,
+            asked: Vec::new(),
+            notices: Vec::new(),
+            accepted: Vec::new(),
+            follow: None,
+        };
+        let config = Box::new(config());
+        script.give(Event::Config { config, asked: now });
+        script.pass(Duration::from_secs(1));
+        assert!(script.node.is_owner());
+        script
+    }
+
+    fn give(&mut self, event: Event) {
+        let time = Time {
+            now: self.now,
+            unix: self.now,
+        };
+        self.node.step(event, time);
+        let mut effects = Vec::new();
+        self.node.settle(&mut effects);
+        for effect in effects {
+            self.answer(effect);
+        }
+    }
+
+    /// Lets time go by.
+    fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += TICK;
+            self.give(Event::ConfigCurrent { asked: self.now });
+            self.give(Event::Tick);
+            self.tell_accepted();
+        }
+    }
+
+    fn tell_accepted(&mut self) {
+        if let Some(call) = self.follow.take_if(|_| !self.accepted.is_empty()) {
+            let result = Ok(Feed {
+                version: self.version,
+                rows: std::mem::take(&mut self.accepted),
+                sent: self.now,
+            });
+            self.give(Event::Followed { call, result });
+        }
+    }
+
+    fn answer(&mut self, effect: Effect) {
+        match effect {
+            Effect::Commit {
+                call, transaction, ..
+            } => {
+                self.version += 1;
+                let jobs = transaction.writes.into_iter();
+                let jobs = jobs.filter(|write| write.key.starts_with("job/"));
+                let rows = jobs.filter_map(|write| {
+                    Some(model::Row {
+                        key: write.key,
+                        cell: model::Cell {
+                            version: self.version,
+                            value: write.value?,
+                        },
+                    })
+                });
+                self.accepted.extend(rows);
+                let result = Ok(Stored::Applied {
+                    version: self.version,
+                    clock: self.now,
+                });
+                self.give(Event::Stored { call, result });
+            }
+            Effect::Scan { call, .. } => {
+                let result = Ok(Stored::Rows {
+                    rows: Vec::new(),
+                    more: false,
+                    version: self.version,
+                    clock: self.now,
+                });
+                self.give(Event::Stored { call, result });
+            }
+            // Changes of the job table are told with the next tick; those of
+            // the cell table only while this VM claims.
+            Effect::Follow { call, table, .. } => match table {
+                sched::Table::Job => self.follow = Some(call),
+                _ => {
+                    let result = Ok(Feed {
+                        version: self.version,
+                        rows: Vec::new(),
+                        sent: self.now,
+                    });
+                    self.now += TICK;
+                    self.give(Event::Followed { call, result });
+                }
+            },
+            Effect::WatchServers(true) => self.give(Event::Servers(vec![listing()])),
+            Effect::Order { call, order, .. } if matches!(*order, Order::Hold { .. }) => {
+                let lists = Lists {
+                    clock: self.now.as_millis() as u64,
+                    incarnation: Some(1),
+                    ..Lists::default()
+                };
+                self.now += TICK;
+                let result = Ok(Outcome::Lists(Box::new(lists)));
+                self.give(Event::Answered { call, result });
+            }
+            Effect::Advise { call, errand } => self.asked.push((call, errand.step.0)),
+            Effect::Log(notice) => self.notices.push(notice),
+            _ => {}
+        }
+    }
+
+    fn hand_in(&mut self, id: &str) {
+        let ask = Ask {
+            host: "host".into(),
+            path: format!("/queue/{id}").into(),
+            key: Some(key::hash("key")),
+            question: Question::Submit(Box::new(graph())),
+        };
+        self.give(Event::Ask { caller: 1, ask });
+    }
+
+    /// The outside policy answers the last question: nowhere.
+    fn answer_policy(&mut self) {
+        if let Some(&(call, _)) = self.asked.last() {
+            let result = Ok(Advice::default());
+            self.give(Event::Advised { call, result });
+        }
+    }
+
+    fn offer(&mut self, strength: f64) {
+        let offer = Offer {
+            helper: "other".into(),
+            strength,
+            result: None,
+        };
+        self.give(Event::Offer { caller: 2, offer });
+    }
+
+    fn released(&self) -> bool {
+        let mut notices = self.notices.iter();
+        notices.any(|notice| matches!(notice, Notice::Released { .. }))
+    }
+}
+
+/// The policy is slow and work has piled up: a pass asks about the work that
+/// can still be in time, not about what came first.
+#[test]
+fn the_policy_is_asked_in_the_order_in_which_work_is_served() {
+    let mut script = Script::owning(0.25);
+    for id in ["0000000000000001", "0000000000000002", "0000000000000003"] {
+        script.hand_in(id);
+    }
+    script.pass(Duration::from_secs(4));
+    script.hand_in("0000000000000004");
+    script.pass(Duration::from_millis(100));
+    let before = script.asked.len();
+
+    for _ in 0..2 {
+        script.answer_policy();
+        script.pass(Duration::from_millis(100));
+    }
+
+    let asked: Vec<&str> = script.asked[before..]
+        .iter()
+        .map(|a| a.1.as_str())
+        .collect();
+    assert!(asked.contains(&"0000000000000004"), "asked about {asked:?}");
+}
+
+#[test]
+fn a_weak_owner_hands_over_to_a_strong_vm() {
+    let mut script = Script::owning(0.12);
+    script.pass(Duration::from_secs(4));
+
+    script.offer(0.5);
+    script.pass(Duration::from_millis(100));
+
+    assert!(script.released());
+}
+
+#[test]
+fn an_owner_stays_when_nobody_stronger_could_own() {
+    let mut script = Script::owning(0.25);
+    script.pass(Duration::from_secs(4));
+
+    script.offer(0.3);
+    script.offer(0.0);
+    script.pass(Duration::from_millis(100));
+
+    assert!(!script.released());
+}
