Work beyond a team's rate is served after the others'

Change: a team's weight is also its rate in jobs a second; what it sends beyond it, with two seconds' worth at once, ranks after all other work that is worth something. Jobs found at a takeover count as within the rate. Tests of that load: policy, work_beyond_a_teams_rate_waits_for_the_others, allowance.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! less its running tasks, each team's use equals the sum of its tasks, and no
 //! team holds more than its allotment gained through a placement.
 
+pub(crate) mod allowance;
 pub(crate) mod backfill;
 pub(crate) mod engine;
 pub(crate) mod explain;
@@ -23,6 +24,7 @@
 pub(crate) mod verify;
 pub(crate) mod worker;
 
+pub use allowance::Allowance;
 pub use engine::{Decision, Engine, Request, Settings};
 pub use health::Health;
 pub use learn::Estimates;
--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -3,7 +3,8 @@
 //! The pattern that this answers: when more work waits than fits, an order by
 //! deadline alone spends the room on work that is late anyway, and an order by
 //! priority alone starves what ranks low although it would still be in time.
-//! So urgent queues go first, and within them and the others, work that can
+//! So work that its team sent within its rate goes before work beyond it; then
+//! urgent queues go first, and within them and the others, work that can
 //! still be in time, then work that is worth something late; then teams that
 //! have less than their share, and the nearest deadline. Work that is worth
 //! nothing any more goes last, whatever its queue.
@@ -37,6 +38,8 @@
     pub priority: u32,
     /// It runs until it is stopped.
     pub long_running: bool,
+    /// Its team sent it beyond its rate.
+    pub beyond_rate: bool,
     /// What its team has running relative to what it is entitled to.
     pub use_of_share: f64,
 }
@@ -53,6 +56,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     worthless: bool,
+    beyond_rate: bool,
     deferrable: bool,
     worth: Worth,
     band: u32,
@@ -76,6 +80,7 @@
         let over = (self.use_of_share - 1.0).max(0.0);
         Rank {
             worthless: worth == Worth::Nothing,
+            beyond_rate: self.beyond_rate && !self.long_running,
             deferrable: self.priority > 0 && !self.long_running,
             worth,
             band: (over / SHARE_BAND) as u32,
--- a/crates/policy/tests/rank.rs
+++ b/crates/policy/tests/rank.rs
@@ -13,6 +13,7 @@
         remaining: Duration::from_secs(2),
         priority: 1,
         long_running: false,
+        beyond_rate: false,
         use_of_share: 0.5,
     }
 }
@@ -110,3 +111,21 @@
     assert!(came_back.rank(NOW) < late.rank(NOW));
     assert!(came_back.rank(NOW) < waiting().rank(NOW));
 }
+
+/// One team sends several times its usual: what it sent beyond its rate waits
+/// for the others, also when it is urgent.
+#[test]
+fn work_beyond_a_teams_rate_waits_for_the_others() {
+    let beyond = Waiting {
+        priority: 0,
+        beyond_rate: true,
+        ..waiting()
+    };
+    let lost = Waiting {
+        since: Duration::ZERO,
+        ..waiting()
+    };
+
+    assert!(waiting().rank(NOW) < beyond.rank(NOW));
+    assert!(beyond.rank(NOW) < lost.rank(NOW));
+}
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -182,6 +182,8 @@
     pub(crate) dirty: bool,
     /// When this owner learned of it.
     pub(crate) since: Duration,
+    /// Its team sent it beyond its rate.
+    pub(crate) beyond_rate: bool,
     /// Expected times, worked out now and then.
     pub(crate) forecast: Option<Forecast>,
 }
@@ -220,6 +222,7 @@
             inherited,
             dirty: false,
             since,
+            beyond_rate: false,
             forecast: None,
         }
     }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use model::{Epoch, Name, Run};
-use policy::Estimates;
+use policy::{Allowance, Estimates};
 
 use crate::accounts::{self, Accounts};
 use crate::advice::Desk;
@@ -76,6 +76,7 @@
     pub(crate) strays: Strays,
     pub(crate) images: HashMap<Name, u32>,
     pub(crate) estimates: Estimates,
+    allowances: HashMap<Name, Allowance>,
     /// Factor on run times away from the data.
     pub(crate) remote_factor: f64,
     /// Something changed that may let a task start.
@@ -103,6 +104,7 @@
             strays: HashMap::new(),
             images: HashMap::new(),
             estimates: Estimates::default(),
+            allowances: HashMap::new(),
             remote_factor: cx.settings.remote_factor,
             place_due: false,
             last_place: Duration::ZERO,
@@ -295,6 +297,16 @@
         pending
     }
 
+    /// Counts a job of a team; true when it is within the team's rate, which is
+    /// its share in jobs a second.
+    pub(crate) fn is_within_rate(&mut self, team: &Name, cx: &Cx<'_>) -> bool {
+        let Some(share) = cx.config.team(team).map(|team| team.share) else {
+            return true; // An open queue's jobs count for nobody.
+        };
+        let allowance = self.allowances.entry(team.clone()).or_default();
+        allowance.take(f64::from(share), cx.now())
+    }
+
     /// Marks a job's state row as to be written.
     pub(crate) fn mark(&mut self, job: JobIx) {
         if let Some(job) = self.ledger.jobs.get_mut(&job) {
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -181,6 +181,7 @@
             objective: forecast.objective,
             remaining: *forecast.remaining.get(step.step as usize)?,
             priority: queue.map_or(DEFAULT_PRIORITY, |queue| queue.priority),
+            beyond_rate: job.beyond_rate,
             long_running: job.graph.steps.get(step.step as usize)?.long_running,
             use_of_share,
         };
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -305,7 +305,9 @@
                 match rows::decode::<Submission>(bytes) {
                     Some(submission) => {
                         let version = row.cell.version;
-                        let job = Job::new(id, version, submission, inherited, cx.now());
+                        let mut job = Job::new(id, version, submission, inherited, cx.now());
+                        // When an inherited job came is not known.
+                        job.beyond_rate = !inherited && !self.is_within_rate(&job.team, cx);
                         self.ledger.insert(job);
                         self.place_due = true;
                     }
