A stopping owner goes on while the table service is away

It gave its place up after 150 ms by a write that could not be applied, so nobody owned from 33.3 to 37.1 s, though an owner that hears its backend servers may start tasks unrecorded.

Test: sched, owner.rs (failed before).

--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/drain.rs
@@ -15,6 +15,10 @@
 /// the balancer has noticed.
 const DRAIN_GRACE: Duration = Duration::from_millis(2_500);
 
+/// How long a stopping owner goes on while the table service is away; with the
+/// grace above less than the time that the platform gives a stopping process.
+const STORE_PATIENCE: Duration = Duration::from_secs(3);
+
 impl Node {
     pub(crate) fn shutdown(&mut self) {
         if self.draining_since.is_some() {
@@ -33,8 +37,12 @@
             .owner
             .as_ref()
             .is_none_or(|owner| owner.commits.is_idle());
-        let waited = self.time.now >= since + RETRY;
-        if self.term.is_owning() && self.release.is_none() && (settled || waited) {
+        // Nobody can take over while the table service is away.
+        let unheard = self.time.now >= self.term.confirmed_at + self.settings.timing.handover;
+        let patience = if unheard { STORE_PATIENCE } else { RETRY };
+        let waited = self.time.now >= since + patience;
+        let ready = (settled && !unheard) || waited;
+        if self.term.is_owning() && self.release.is_none() && ready {
             self.send_release();
         }
         let idle = self.intake.is_idle() && !self.term.is_owning();
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -4,8 +4,9 @@
 
 use model::{Graph, Resources, Step, key};
 use sched::{
-    Admission, Advice, Ask, CallId, Config, Effect, Event, Feed, Listing, Lists, Node, Notice,
-    Offer, Order, Outcome, Question, Queue, Service, Settings, Stored, Team, Time, Timing,
+    Admission, Advice, Ask, CallId, Config, Effect, Event, Failure, Feed, Listing, Lists, Node,
+    Notice, Offer, Order, Outcome, Question, Queue, Service, Settings, Stored, Table, Team, Time,
+    Timing,
 };
 
 /// Time between two ticks.
@@ -90,7 +91,11 @@
     notices: Vec<Notice>,
     /// Rows of accepted jobs that the owner has not been told of.
     accepted: Vec<model::Row>,
+    /// Calls that wait for changes of the job table and of the cell table.
     follow: Option<CallId>,
+    cell: Option<CallId>,
+    /// The table service does nothing.
+    store_down: bool,
 }
 
 impl Script {
@@ -106,6 +111,8 @@
             notices: Vec::new(),
             accepted: Vec::new(),
             follow: None,
+            cell: None,
+            store_down: false,
         };
         let config = Box::new(config());
         script.give(Event::Config { config, asked: now });
@@ -135,6 +142,18 @@
             self.give(Event::ConfigCurrent { asked: self.now });
             self.give(Event::Tick);
             self.tell_accepted();
+            self.tell_cell();
+        }
+    }
+
+    fn tell_cell(&mut self) {
+        if let Some(call) = self.cell.take() {
+            let result = Ok(Feed {
+                version: self.version,
+                rows: Vec::new(),
+                sent: self.now,
+            });
+            self.give(Event::Followed { call, result });
         }
     }
 
@@ -151,6 +170,10 @@
 
     fn answer(&mut self, effect: Effect) {
         match effect {
+            Effect::Commit { call, .. } if self.store_down => {
+                let result = Err(Failure::Unavailable);
+                self.give(Event::Stored { call, result });
+            }
             Effect::Commit {
                 call, transaction, ..
             } => {
@@ -182,19 +205,10 @@
                 });
                 self.give(Event::Stored { call, result });
             }
-            // Changes of the job table are told with the next tick; those of
-            // the cell table only while this VM claims.
+            // Both are answered with the next tick.
             Effect::Follow { call, table, .. } => match table {
-                sched::Table::Job => self.follow = Some(call),
-                _ => {
-                    let result = Ok(Feed {
-                        version: self.version,
-                        rows: Vec::new(),
-                        sent: self.now,
-                    });
-                    self.now += TICK;
-                    self.give(Event::Followed { call, result });
-                }
+                Table::Job => self.follow = Some(call),
+                _ => self.cell = Some(call),
             },
             Effect::WatchServers(true) => self.give(Event::Servers(vec![listing()])),
             Effect::Order { call, order, .. } if matches!(*order, Order::Hold { .. }) => {
@@ -293,3 +307,21 @@
 
     assert!(!script.released());
 }
+
+/// Nobody can take over while the table service is away, so a stopping owner
+/// goes on, and hands over once it is back.
+#[test]
+fn a_stopping_owner_goes_on_while_the_table_service_is_away() {
+    let mut script = Script::owning(0.25);
+    script.store_down = true;
+    script.pass(Duration::from_secs(1));
+    script.give(Event::Shutdown);
+
+    script.pass(Duration::from_secs(1));
+    let released_early = script.released();
+    script.store_down = false;
+    script.pass(Duration::from_millis(500));
+
+    assert!(!released_early);
+    assert!(script.released());
+}
