--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -485,8 +485,7 @@
                 });
             }
             Response::Idle => self.next_offer = self.time.now,
-            Response::Lost => self.next_offer = self.time.now + OFFER_RETRY,
-            Response::HandOver | Response::Refused => {
+            Response::HandOver | Response::Refused | Response::Lost => {
                 self.next_offer = self.time.now + OFFER_RETRY;
                 self.suspect_owner();
             }
