A quarter of a team's limit is kept for its urgent work

Change: while a team sends urgent work, its other work leaves a quarter of the limit to it, less what urgent work uses already; what could not run within that has the whole limit.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub(crate) mod finish;
 pub mod fit;
 pub(crate) mod gang;
+pub mod headroom;
 pub(crate) mod health;
 pub(crate) mod learn;
 pub(crate) mod preempt;
--- a/crates/sched/src/accounts.rs
+++ b/crates/sched/src/accounts.rs
@@ -10,12 +10,14 @@
 use model::{Name, Resources};
 
 use crate::fleet::{Fleet, ServerIx};
-use crate::ledger::{Ledger, Life, Placed, RunRef};
+use crate::ledger::{Job, Ledger, Life, Placed, RunRef};
 
 /// What each team has running.
 #[derive(Debug, Default)]
 pub(crate) struct Accounts {
     used: HashMap<Name, Resources>,
+    /// The part of it that is urgent work.
+    urgent: HashMap<Name, Resources>,
 }
 
 impl Accounts {
@@ -24,6 +26,29 @@
         self.used.get(team).copied().unwrap_or(Resources::ZERO)
     }
 
+    /// What a team has running of its urgent work.
+    pub(crate) fn urgent(&self, team: &Name) -> Resources {
+        self.urgent.get(team).copied().unwrap_or(Resources::ZERO)
+    }
+
+    fn add(&mut self, job: &Job, more: Resources) {
+        let used = self.used.entry(job.team.clone()).or_default();
+        *used = used.plus(more);
+        if job.urgent {
+            let urgent = self.urgent.entry(job.team.clone()).or_default();
+            *urgent = urgent.plus(more);
+        }
+    }
+
+    fn remove(&mut self, job: &Job, less: Resources) {
+        let used = self.used.entry(job.team.clone()).or_default();
+        *used = used.minus(less);
+        if job.urgent {
+            let urgent = self.urgent.entry(job.team.clone()).or_default();
+            *urgent = urgent.minus(less);
+        }
+    }
+
     /// True when a team may have `more` running under `limit`, whose zeros
     /// mean "no limit".
     pub(crate) fn allows(&self, team: &Name, limit: &Resources, more: Resources) -> bool {
@@ -76,8 +101,7 @@
     entry.used = entry.used.plus(committed);
     entry.runs.insert(run);
     if let Some(job) = ledger.jobs.get(&run.task.step.job) {
-        let used = accounts.used.entry(job.team.clone()).or_default();
-        *used = used.plus(whole);
+        accounts.add(job, whole);
     }
 }
 
@@ -99,8 +123,7 @@
     entry.used = entry.used.minus(committed.unwrap_or(Resources::ZERO));
     entry.runs.remove(&run);
     if let Some(job) = ledger.jobs.get(&run.task.step.job) {
-        let used = accounts.used.entry(job.team.clone()).or_default();
-        *used = used.minus(placed.held);
+        accounts.remove(job, placed.held);
     }
     Some(placed)
 }
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -184,6 +184,8 @@
     pub(crate) since: Duration,
     /// Its team sent it beyond its rate.
     pub(crate) beyond_rate: bool,
+    /// Its queue was urgent when this owner learned of it.
+    pub(crate) urgent: bool,
     /// Expected times, worked out now and then.
     pub(crate) forecast: Option<Forecast>,
 }
@@ -223,6 +225,7 @@
             dirty: false,
             since,
             beyond_rate: false,
+            urgent: false,
             forecast: None,
         }
     }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -77,6 +77,8 @@
     pub(crate) images: HashMap<Name, u32>,
     pub(crate) estimates: Estimates,
     allowances: HashMap<Name, Allowance>,
+    /// When each team last sent urgent work.
+    pub(crate) urgent_at: HashMap<Name, Duration>,
     /// Factor on run times away from the data.
     pub(crate) remote_factor: f64,
     /// Something changed that may let a task start.
@@ -105,6 +107,7 @@
             images: HashMap::new(),
             estimates: Estimates::default(),
             allowances: HashMap::new(),
+            urgent_at: HashMap::new(),
             remote_factor: cx.settings.remote_factor,
             place_due: false,
             last_place: Duration::ZERO,
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -3,14 +3,20 @@
 //! Invariant: a plan names only backend servers that may run the step and have
 //! room for everything that the plan puts there.
 
+use std::time::Duration;
+
 use model::{Name, Resources, Step, TaskIndex};
 use policy::fit::{self, Kind, Site};
+use policy::headroom;
 
 use crate::fleet::ServerIx;
 use crate::ledger::StepRef;
 use crate::owner::{Cx, Owner};
 use crate::place::{Plan, Pool, Terms};
 
+/// Time since its last urgent job for which a team counts as sending such.
+const URGENT_WITHIN: Duration = Duration::from_secs(10);
+
 impl Owner {
     /// True when a backend server may run a step as far as is known; with
     /// `terms`, also that there is a valid ticket where one is needed.
@@ -165,7 +171,7 @@
         if spec.gang && waiting.len() < state.tasks.len() {
             return Vec::new(); // Members of the last run are not over yet.
         }
-        let limit = cx.config.team(team).map_or(Resources::ZERO, |t| t.limit);
+        let limit = self.limit_for(step, spec, team, waiting.len(), cx);
         let unseen = self.unseen();
         let fits = |count: usize| {
             let more = spec.each.times(count as u32).plus(unseen);
@@ -181,6 +187,38 @@
         waiting.into_iter().take(allowed.max(least)).collect()
     }
 
+    /// The team's limit as it holds for a step: work that can wait leaves a part
+    /// of it to the urgent work that the team sends.
+    fn limit_for(
+        &self,
+        step: StepRef,
+        spec: &Step,
+        team: &Name,
+        waiting: usize,
+        cx: &Cx<'_>,
+    ) -> Resources {
+        let limit = cx.config.team(team).map_or(Resources::ZERO, |t| t.limit);
+        let urgent = self
+            .ledger
+            .jobs
+            .get(&step.job)
+            .is_some_and(|job| job.urgent);
+        let last = self.urgent_at.get(team);
+        let sends_urgent = last.is_some_and(|at| cx.now() < *at + URGENT_WITHIN);
+        if urgent || spec.long_running || !sends_urgent {
+            return limit;
+        }
+        let bound = headroom::bound(limit, self.accounts.urgent(team));
+        let whole = match spec.gang {
+            true => spec.each.times(waiting as u32),
+            false => spec.each,
+        };
+        match headroom::could_hold(&bound, &whole) {
+            true => bound,
+            false => limit,
+        }
+    }
+
     /// Tasks of a list that still wait.
     pub(crate) fn left(&self, step: StepRef, waiting: &[TaskIndex]) -> Vec<TaskIndex> {
         let waits = |index: &TaskIndex| {
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -308,6 +308,11 @@
                         let mut job = Job::new(id, version, submission, inherited, cx.now());
                         // When an inherited job came is not known.
                         job.beyond_rate = !inherited && !self.is_within_rate(&job.team, cx);
+                        let queue = cx.config.queue(&job.queue);
+                        job.urgent = queue.is_some_and(|queue| queue.priority == 0);
+                        if job.urgent {
+                            self.urgent_at.insert(job.team.clone(), cx.now());
+                        }
                         self.ledger.insert(job);
                         self.place_due = true;
                     }
