--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -31,6 +31,9 @@
 const HANDOVER_BEATS: u32 = 2;
 /// Weight of the newest answer in the mean answer time.
 const ANSWER_GAIN: f64 = 0.1;
+/// Factor on the mean answer time for an answer that did not come in time: a
+/// table service that has become slow would else never be waited for.
+const UNANSWERED_FACTOR: f64 = 2.0;
 /// Multiple of the mean answer time after which a group commit is sent again;
 /// its conditions make that harmless.
 const PATIENCE: f64 = 8.0;
@@ -98,6 +101,14 @@
         ms(Duration::from_secs_f64(self.answer_time))
     }
 
+    /// A group commit was not answered in time.
+    fn note_unanswered(&mut self) {
+        let patience = self.patience().as_secs_f64();
+        let longer = patience / PATIENCE * UNANSWERED_FACTOR;
+        let longest = PATIENCE_RANGE.1.as_secs_f64() / PATIENCE;
+        self.answer_time = longer.min(longest);
+    }
+
     /// Time after which a group commit counts as unanswered.
     fn patience(&self) -> Duration {
         let time = Duration::from_secs_f64(self.answer_time * PATIENCE);
@@ -361,6 +372,9 @@
                 self.commits.not_before = cx.now();
             }
             Err(failure) => {
+                if *failure == Failure::Unknown {
+                    self.commits.note_unanswered();
+                }
                 self.note_store(Some(failure), cx);
                 self.redo(&batch, cx);
             }
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use model::{Graph, Resources, Step, key};
+use model::{Graph, Name, Resources, Step, key};
 use sched::{
     Admission, Advice, Ask, CallId, Config, Effect, Event, Failure, Feed, Listing, Lists, Node,
     Notice, Offer, Order, Outcome, Question, Queue, Service, Settings, Stored, Table, Team, Time,
@@ -96,6 +96,11 @@
     cell: Option<CallId>,
     /// The table service does nothing.
     store_down: bool,
+    /// Time that the table service takes for a write; shorter waits are over
+    /// before the answer.
+    store_takes: Duration,
+    /// Writes of the owner's job states that were applied.
+    states_written: u32,
 }
 
 impl Script {
@@ -113,6 +118,8 @@
             follow: None,
             cell: None,
             store_down: false,
+            store_takes: Duration::ZERO,
+            states_written: 0,
         };
         let config = Box::new(config());
         script.give(Event::Config { config, asked: now });
@@ -174,9 +181,24 @@
                 let result = Err(Failure::Unavailable);
                 self.give(Event::Stored { call, result });
             }
+            Effect::Commit {
+                call,
+                limit: Some(limit),
+                ..
+            } if limit < self.store_takes => {
+                self.now += limit;
+                let result = Err(Failure::Unknown);
+                self.give(Event::Stored { call, result });
+            }
             Effect::Commit {
                 call, transaction, ..
             } => {
+                let has = |table: &str| {
+                    let mut writes = transaction.writes.iter();
+                    writes.any(|write| write.key.starts_with(table))
+                };
+                // An acceptance writes both.
+                self.states_written += u32::from(has("state/") && !has("job/"));
                 self.version += 1;
                 let jobs = transaction.writes.into_iter();
                 let jobs = jobs.filter(|write| write.key.starts_with("job/"));
@@ -237,10 +259,10 @@
         self.give(Event::Ask { caller: 1, ask });
     }
 
-    /// The outside policy answers the last question: nowhere.
-    fn answer_policy(&mut self) {
+    /// The outside policy answers the last question.
+    fn answer_policy(&mut self, granted: Vec<(Name, Name)>) {
         if let Some(&(call, _)) = self.asked.last() {
-            let result = Ok(Advice::default());
+            let result = Ok(Advice { granted });
             self.give(Event::Advised { call, result });
         }
     }
@@ -274,7 +296,7 @@
     let before = script.asked.len();
 
     for _ in 0..2 {
-        script.answer_policy();
+        script.answer_policy(Vec::new());
         script.pass(Duration::from_millis(100));
     }
 
@@ -325,3 +347,18 @@
     assert!(!released_early);
     assert!(script.released());
 }
+
+/// The table service turns fifty times as slow: group commits are waited for
+/// longer, so that what was decided still gets recorded.
+#[test]
+fn a_slow_table_service_is_waited_for() {
+    let mut script = Script::owning(0.25);
+    script.hand_in("0000000000000001");
+    script.pass(Duration::from_millis(200));
+    script.store_takes = Duration::from_millis(600);
+
+    script.answer_policy(vec![("server".into(), "ticket".into())]);
+    script.pass(Duration::from_secs(3));
+
+    assert!(script.states_written > 0);
+}
