Claims are delayed by strength relative to the strongest VM

Change: the owner's sign of life says how strong the strongest VM is that could own; claims wait 50 ms times the square of the ratio, up to 0.9 s. A sign of life that can't be read counts as endlessly old, as was meant.

--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -166,6 +166,7 @@
             clock: cx.term.clock(cx.now()),
             recorded: self.commits.unrecorded_at.is_none(),
             pending,
+            strongest: self.desk.strongest().max(cx.settings.strength),
         };
         let call = cx.call();
         self.commits.beats.insert(call, cx.now());
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -66,7 +66,7 @@
         Self {
             time,
             known: Known::default(),
-            term: Term::new(&settings, &mut rng),
+            term: Term::new(&mut rng),
             intake: Intake::default(),
             owner: None,
             next_call: 0,
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -179,13 +179,11 @@
     /// Reads when the last owner was last known to own.
     fn note_last_sign(&mut self, rows: &[Row]) {
         let row = rows.iter().find(|row| row.key == rows::BEAT);
-        let beat = row
-            .and_then(content)
-            .and_then(|bytes| rows::decode::<Beat>(bytes));
-        // Without complete records, the sign counts as endlessly old.
-        self.recovery.last_sign = beat.map(|beat| match beat.recorded {
-            true => beat.clock,
-            false => Duration::ZERO,
+        // Without complete records, or when it can't be read, the sign counts
+        // as endlessly old.
+        self.recovery.last_sign = row.and_then(content).map(|bytes| {
+            let beat = rows::decode::<Beat>(bytes).filter(|beat| beat.recorded);
+            beat.map_or(Duration::ZERO, |beat| beat.clock)
         });
     }
 
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -41,7 +41,7 @@
 }
 
 /// An owner's sign of life.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Beat {
     /// Grows with each sign.
     pub(crate) count: u64,
@@ -51,6 +51,8 @@
     pub(crate) recorded: bool,
     /// Jobs of each queue of which no task has started.
     pub(crate) pending: BTreeMap<Name, u32>,
+    /// Part of a core that the strongest VM has that could own.
+    pub(crate) strongest: f64,
 }
 
 /// A backend server that may run work of an owner.
--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -14,11 +14,14 @@
 
 /// Random part of the delay of a claim, so that VMs rarely race.
 const CLAIM_JITTER: Duration = Duration::from_millis(120);
-/// Delay of a claim by a VM that has one core; weaker VMs wait longer, since
-/// the owner does most of the work.
+/// Delay of a claim by the strongest VM. Weaker ones wait longer, by the square
+/// of the ratio, since the owner does most of the work.
 const CLAIM_DELAY: Duration = Duration::from_millis(50);
 /// Longest delay of a claim.
-const MAX_CLAIM_DELAY: Duration = Duration::from_millis(500);
+const MAX_CLAIM_DELAY: Duration = Duration::from_millis(900);
+/// Part of a core that the strongest VM is taken to have while no owner has
+/// said.
+const USUAL_STRENGTH: f64 = 0.5;
 /// How long a hint that the owner is in trouble counts.
 const HINT: Duration = Duration::from_secs(2);
 /// Shortest and longest wait for changes while following.
@@ -61,14 +64,13 @@
     pub(crate) majority: bool,
     /// When the owner was last known to be in trouble.
     hinted_at: Option<Duration>,
-    /// Delay of this VM's claims.
-    delay: Duration,
+    /// Random part of the delay of this VM's claims.
+    jitter: Duration,
 }
 
 impl Term {
     /// A VM that knows nothing yet.
-    pub(crate) fn new(settings: &Settings, rng: &mut fastrand::Rng) -> Self {
-        let delay = CLAIM_DELAY.div_f64(settings.strength.clamp(0.01, 1.0));
+    pub(crate) fn new(rng: &mut fastrand::Rng) -> Self {
         Self {
             standing: Standing::Following,
             owner: Owner::default(),
@@ -82,7 +84,7 @@
             clock: (Duration::ZERO, Duration::ZERO),
             majority: false,
             hinted_at: None,
-            delay: delay.min(MAX_CLAIM_DELAY) + CLAIM_JITTER.mul_f64(rng.f64()),
+            jitter: CLAIM_JITTER.mul_f64(rng.f64()),
         }
     }
 
@@ -195,6 +197,17 @@
         self.hinted_at = Some(now);
     }
 
+    /// Delay of this VM's claims.
+    fn delay(&self, settings: &Settings) -> Duration {
+        let strongest = match self.beat.strongest {
+            known if known > 0.0 => known,
+            _ => USUAL_STRENGTH,
+        };
+        let ratio = (strongest / settings.strength.max(0.01)).max(1.0);
+        let delay = CLAIM_DELAY.mul_f64(ratio * ratio);
+        delay.min(MAX_CLAIM_DELAY) + self.jitter
+    }
+
     /// Silence of the owner after which this VM claims.
     fn patience(&self, settings: &Settings) -> Duration {
         let timing = &settings.timing;
@@ -202,9 +215,9 @@
         let restarted = self.owner.name == settings.name && self.owner.process != settings.process;
         match () {
             () if restarted => Duration::ZERO,
-            () if self.owner_version == 0 || self.owner.released => self.delay,
-            () if hinted => timing.hinted_silence + self.delay,
-            () => timing.silence + self.delay,
+            () if self.owner_version == 0 || self.owner.released => self.delay(settings),
+            () if hinted => timing.hinted_silence + self.delay(settings),
+            () => timing.silence + self.delay(settings),
         }
     }
 
