--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -19,6 +19,7 @@
 pub(crate) mod ends;
 pub(crate) mod event;
 pub(crate) mod fleet;
+pub(crate) mod forecast;
 pub(crate) mod intake;
 pub(crate) mod ledger;
 pub(crate) mod lists;
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -16,7 +16,7 @@
 use crate::config::Admission;
 use crate::event::ATTEMPTS_PER_EPOCH;
 use crate::fleet::ServerIx;
-use crate::ledger::{Forecast, Job, JobIx, StepRef, StepState};
+use crate::ledger::{Job, JobIx, StepRef, StepState};
 use crate::owner::{Cx, Owner};
 
 /// Part of a service's backend servers that blocked gangs may keep free.
@@ -32,9 +32,6 @@
 const PASS_PART: u32 = 4;
 /// Least part of a core that is reckoned with.
 const MIN_STRENGTH: f64 = 0.05;
-/// Age from which expected times are worked out anew: learned run times move
-/// slowly.
-const FORECAST_AGE: Duration = Duration::from_secs(1);
 /// Priority of work whose queue is no longer configured.
 const DEFAULT_PRIORITY: u32 = 2;
 
@@ -148,30 +145,6 @@
         wanted
     }
 
-    /// Works the expected times of a job out anew when they are old.
-    fn renew_forecast(&mut self, ix: JobIx, cx: &Cx<'_>) {
-        let Some(job) = self.ledger.jobs.get(&ix) else {
-            return;
-        };
-        let fresh = |forecast: &Forecast| cx.now() < forecast.at + FORECAST_AGE;
-        if job.forecast.as_ref().is_some_and(fresh) {
-            return;
-        }
-        let steps = 0..job.graph.steps.len() as StepIndex;
-        let remaining: Vec<Duration> = steps.map(|step| self.remaining(job, step)).collect();
-        let chain = remaining.iter().max().copied().unwrap_or(Duration::ZERO);
-        let queue = cx.config.queue(&job.queue);
-        let (slack, target) = queue.map_or((1.0, Duration::ZERO), |q| (q.slack, q.latency_target));
-        let forecast = Forecast {
-            at: cx.now(),
-            objective: target + chain.mul_f64(slack.max(1.0)),
-            remaining,
-        };
-        if let Some(job) = self.ledger.jobs.get_mut(&ix) {
-            job.forecast = Some(forecast);
-        }
-    }
-
     fn rank(&self, step: StepRef, use_of_share: f64, cx: &Cx<'_>) -> Option<Rank> {
         let job = self.ledger.jobs.get(&step.job)?;
         let forecast = job.forecast.as_ref()?;
@@ -207,29 +180,6 @@
         used / entitled.max(f64::EPSILON)
     }
 
-    /// Expected time from the start of a step to the end of its job, by
-    /// learned run times where they are known.
-    fn remaining(&self, job: &Job, from: StepIndex) -> Duration {
-        let steps = &job.graph.steps;
-        let mut ends: Vec<Option<Duration>> = vec![None; steps.len()];
-        for (index, step) in steps.iter().enumerate().skip(from as usize) {
-            let before = step.after.iter().filter_map(|p| *ends.get(*p as usize)?);
-            let start = match index == from as usize {
-                true => Some(Duration::ZERO),
-                false => before.max(),
-            };
-            ends[index] = start.map(|start| start + self.expected(step));
-        }
-        ends.into_iter().flatten().max().unwrap_or(Duration::ZERO)
-    }
-
-    /// Expected run time of a task of a step.
-    pub(crate) fn expected(&self, step: &Step) -> Duration {
-        let class = self.images.get(&step.image);
-        let learned = class.and_then(|class| self.estimates.mean_ms(*class));
-        learned.map_or(step.estimate, Duration::from_millis)
-    }
-
     fn pass(&self, cx: &Cx<'_>) -> Pass {
         let timing = &cx.settings.timing;
         let mut pass = Pass::new();
