--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -2,21 +2,22 @@
 
 use std::time::Duration;
 
-use model::{Graph, Name, Resources, Step, key};
+use model::{Cell, Graph, Name, Resources, Row, Step, key};
 use sched::{
     Admission, Advice, Ask, CallId, Config, Effect, Event, Failure, Feed, Listing, Lists, Node,
-    Notice, Offer, Order, Outcome, Question, Queue, Service, Settings, Stored, Table, Team, Time,
-    Timing,
+    Notice, Offer, Order, Outcome, Question, Queue, Response, Service, Settings, Stored, Table,
+    Team, Time, Timing,
 };
 
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(20);
 
-fn settings(strength: f64) -> Settings {
+fn settings(name: &str, strength: f64) -> Settings {
     Settings {
-        name: "vm".into(),
-        process: 1,
-        address: "vm".into(),
+        name: name.into(),
+        // Any number that differs between the names used.
+        process: name.len() as u64,
+        address: name.into(),
         strength,
         remote_factor: 2.0,
         timing: Timing::default(),
@@ -90,10 +91,12 @@
     asked: Vec<(CallId, model::JobId)>,
     notices: Vec<Notice>,
     /// Rows of accepted jobs that the owner has not been told of.
-    accepted: Vec<model::Row>,
+    accepted: Vec<Row>,
     /// Calls that wait for changes of the job table and of the cell table.
     follow: Option<CallId>,
     cell: Option<CallId>,
+    /// Rows of the cell table.
+    cell_rows: Vec<Row>,
     /// The table service does nothing.
     store_down: bool,
     /// Time that the table service takes for a write; shorter waits are over
@@ -106,10 +109,23 @@
 impl Script {
     /// A VM that owns and holds one backend server.
     fn owning(strength: f64) -> Self {
+        let mut script = Self::new("owner", strength, Vec::new());
+        script.pass(Duration::from_secs(1));
+        assert!(script.node.is_owner());
+        script
+    }
+
+    /// A VM that sees another one own, which falls silent.
+    fn following() -> Self {
+        let owner = Self::owning(0.25);
+        Self::new("follower", 0.25, owner.cell_rows)
+    }
+
+    fn new(name: &str, strength: f64, cell_rows: Vec<Row>) -> Self {
         let now = Duration::from_secs(100);
         let time = Time { now, unix: now };
         let mut script = Self {
-            node: Node::new(settings(strength), 1, time),
+            node: Node::new(settings(name, strength), 1, time),
             now,
             version: 1,
             asked: Vec::new(),
@@ -117,14 +133,14 @@
             accepted: Vec::new(),
             follow: None,
             cell: None,
+            cell_rows: Vec::new(),
             store_down: false,
             store_takes: Duration::ZERO,
             states_written: 0,
         };
+        script.cell_rows = cell_rows;
         let config = Box::new(config());
         script.give(Event::Config { config, asked: now });
-        script.pass(Duration::from_secs(1));
-        assert!(script.node.is_owner());
         script
     }
 
@@ -200,27 +216,31 @@
                 // An acceptance writes both.
                 self.states_written += u32::from(has("state/") && !has("job/"));
                 self.version += 1;
-                let jobs = transaction.writes.into_iter();
-                let jobs = jobs.filter(|write| write.key.starts_with("job/"));
-                let rows = jobs.filter_map(|write| {
-                    Some(model::Row {
+                let version = self.version;
+                let rows = transaction.writes.into_iter().filter_map(|write| {
+                    let value = write.value?;
+                    let cell = Cell { version, value };
+                    Some(Row {
                         key: write.key,
-                        cell: model::Cell {
-                            version: self.version,
-                            value: write.value?,
-                        },
+                        cell,
                     })
                 });
-                self.accepted.extend(rows);
+                for row in rows {
+                    self.keep(row);
+                }
                 let result = Ok(Stored::Applied {
                     version: self.version,
                     clock: self.now,
                 });
                 self.give(Event::Stored { call, result });
             }
-            Effect::Scan { call, .. } => {
+            Effect::Scan { call, table, .. } => {
+                let rows = match table {
+                    Table::Cell => self.cell_rows.clone(),
+                    _ => Vec::new(),
+                };
                 let result = Ok(Stored::Rows {
-                    rows: Vec::new(),
+                    rows,
                     more: false,
                     version: self.version,
                     clock: self.now,
@@ -249,6 +269,20 @@
         }
     }
 
+    fn keep(&mut self, row: Row) {
+        if row.key.starts_with("job/") {
+            self.accepted.push(row);
+        } else if row.key.starts_with("cell/") {
+            self.cell_rows.retain(|known| known.key != row.key);
+            self.cell_rows.push(row);
+        }
+    }
+
+    fn claims(&self) -> bool {
+        let mut notices = self.notices.iter();
+        notices.any(|notice| matches!(notice, Notice::Claiming { .. }))
+    }
+
     fn hand_in(&mut self, id: &str) {
         let ask = Ask {
             host: "host".into(),
@@ -362,3 +396,22 @@
 
     assert!(script.states_written > 0);
 }
+
+/// The owner is cut off without a word: an offer to it that is not answered
+/// makes its helpers claim sooner.
+#[test]
+fn an_offer_without_an_answer_brings_the_claim_forward() {
+    let mut waiting = Script::following();
+    let mut hinted = Script::following();
+    for script in [&mut waiting, &mut hinted] {
+        script.pass(Duration::from_millis(500));
+    }
+
+    hinted.give(Event::Helped(Response::Lost));
+    for script in [&mut waiting, &mut hinted] {
+        script.pass(Duration::from_millis(600));
+    }
+
+    assert!(hinted.claims());
+    assert!(!waiting.claims());
+}
