Runs that an owner finds are recorded before they are trusted

The third owner, cut off from that server, trusted the records and started run 2001. Besides, an owner that had not yet seen every server said in its signs of life that everything was recorded.

Change: a found run marks its job and counts as unrecorded until that is written; signs of life say recorded only when nothing can run unseen.

--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -164,7 +164,8 @@
         let beat = Beat {
             count: self.commits.beat_count,
             clock: cx.term.clock(cx.now()),
-            recorded: self.commits.unrecorded_at.is_none(),
+            // What runs unseen may not be recorded either.
+            recorded: self.commits.unrecorded_at.is_none() && !self.may_run_unseen(),
             pending,
             strongest: self.desk.strongest().max(cx.settings.strength),
         };
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -271,6 +271,10 @@
             placed.gauge = progress.gauge;
             placed.pace = crate::pace::UNKNOWN;
         }
+        // A successor that can't reach this backend server knows it by the
+        // record alone.
+        self.mark(run.task.step.job);
+        self.commits.unrecorded_at = Some(cx.now());
         let label = self.label(run, ix);
         cx.log(Notice::RunAdopted {
             job: label.job,
--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -78,7 +78,7 @@
         LeavingServers, LostServers, StopOwner, StoreDown, StoreForgets, StoreLost,
         StoreShutsOwnerOut,
     };
-    let cases: [(u64, &[Fault]); 15] = [
+    let cases: [(u64, &[Fault]); 17] = [
         // Runs of a job cancelled during the takeover did not count.
         (1, &[FreezeOwner]),
         // A run on the next incarnation was taken for gone with the old one.
@@ -107,6 +107,10 @@
         (1066, &[FreezeOwner, CutServers]),
         // Records of ended runs and found runs were counted together.
         (1210, &[CutDataCentre, LateOrders]),
+        // A job that had ended was taken up again from an older read.
+        (1, &[StoreForgets]),
+        // A run that was found, not ordered, had no record for the next owner.
+        (352, &[StoreDown, StopOwner, CutDataCentre]),
     ];
 
     for (seed, faults) in cases {
