--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/drain.rs
@@ -10,6 +10,7 @@
 use crate::event::Effect;
 use crate::node::{CELL_RETRY_DELAY, Node};
 use crate::notice::Notice;
+use crate::partition::CELL_PARTITION;
 use crate::rows;
 
 /// Minimum time between readiness turning false and process exit, so that the
@@ -84,6 +85,7 @@
         self.out.push(Effect::WatchServers(false));
         self.out.push(Effect::Commit {
             call,
+            partition: CELL_PARTITION,
             transaction,
             timeout: None,
         });
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -14,6 +14,7 @@
 
 use crate::config::Config;
 use crate::notice::Notice;
+use crate::partition::PartitionId;
 
 /// Identifies a caller that waits for a reply; assigned by the event loop.
 pub type CallerId = u64;
@@ -141,8 +142,10 @@
 /// Tables in the table service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Table {
-    /// Ownership, the owner's heartbeat and its roster of backend servers.
+    /// Ownership, the owner's heartbeat and the layout.
     Cell,
+    /// The owner's roster of backend servers.
+    Roster,
     /// Submissions of jobs that have not ended, and cancellation requests for them.
     Job,
     /// State of every job.
@@ -155,6 +158,7 @@
     pub const fn prefix(self) -> &'static str {
         match self {
             Self::Cell => "cell/",
+            Self::Roster => "roster/",
             Self::Job => "job/",
             Self::State => "state/",
         }
@@ -477,15 +481,19 @@
     Commit {
         /// Call id of the response.
         call: CallId,
+        /// Partition of all rows in the transaction.
+        partition: PartitionId,
         /// Conditions and writes, applied as a whole or not at all.
         transaction: Transaction,
         /// Timeout; `None` for the default.
         timeout: Option<Duration>,
     },
-    /// Read one page of a table's rows, starting at a key.
+    /// Read one page of a table's rows in one partition, starting at a key.
     Scan {
         /// Call id of the response.
         call: CallId,
+        /// Partition whose rows are read.
+        partition: PartitionId,
         /// Table whose rows are read, in ascending key order.
         table: Table,
         /// First key to read, without the table's prefix.
@@ -493,11 +501,11 @@
         /// Maximum number of rows.
         limit: u32,
     },
-    /// Wait for changes to a table.
+    /// Wait for changes to a table, in any partition.
     Follow {
         /// Call id of the response.
         call: CallId,
-        /// Table whose changes are reported; never `Table::State`.
+        /// Table whose changes are reported: `Table::Cell` or `Table::Job`.
         table: Table,
         /// Only changes after this version are reported.
         after: u64,
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -4,12 +4,13 @@
 //! Invariant: an index is never reused for another incarnation, and `used` is
 //! the sum of the resources that the runs placed there hold.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use model::{Epoch, Name, Resources};
 use policy::Health;
 
+use crate::commit::Change;
 use crate::event::{CallId, Listing};
 use crate::ledger::RunRef;
 use crate::settings::Timing;
@@ -78,6 +79,9 @@
     /// Number of the last ended run that may be acknowledged, since the effects of
     /// its end are committed.
     pub(crate) acknowledged_end: u64,
+    /// Handled ends that may not be acknowledged yet, each with the last change to
+    /// a job that has to be written before.
+    pub(crate) unacknowledged: VecDeque<(u64, Change)>,
     /// Resources committed to `runs`.
     pub(crate) used: Resources,
     /// Runs placed here that may exist.
@@ -109,6 +113,7 @@
             next_renewal_at: Duration::ZERO,
             processed_end: 0,
             acknowledged_end: 0,
+            unacknowledged: VecDeque::new(),
             used: Resources::ZERO,
             runs: BTreeSet::new(),
             health: Health::default(),
@@ -213,6 +218,17 @@
         ix
     }
 
+    /// Allows the ends to be acknowledged whose effects are among the changes up to
+    /// `written`, which are committed.
+    pub(crate) fn acknowledge(&mut self, written: Change) {
+        for server in &mut self.servers {
+            let committed = |(_, change): &mut (u64, Change)| *change <= written;
+            while let Some((number, _)) = server.unacknowledged.pop_front_if(committed) {
+                server.acknowledged_end = number;
+            }
+        }
+    }
+
     /// Indices of the incarnations that have not terminated.
     pub(crate) fn live(&self) -> impl Iterator<Item = ServerIx> + '_ {
         let all = self.servers.iter().enumerate();
--- /dev/null
+++ b/crates/sched/src/heartbeat.rs
@@ -0,0 +1,150 @@
+//! The owner's heartbeats, which keep its term valid, and the availability of the
+//! table service that they show.
+//!
+//! Invariant: a heartbeat is conditional on the version of the owner row. Only
+//! heartbeats confirm the term, since writes to other partitions may be applied
+//! after a later owner has claimed.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use compact_str::format_compact;
+use model::{Condition, Row, Transaction};
+
+use crate::commit::put;
+use crate::event::{CallId, Effect, StoreError, StoreResponse};
+use crate::notice::Notice;
+use crate::owner::{Cx, Owner};
+use crate::partition::CELL_PARTITION;
+use crate::rows::{self, Heartbeat};
+
+/// Number of consecutive failed heartbeats after which an owner asks for a
+/// successor.
+const HANDOVER_HEARTBEATS: u32 = 2;
+
+/// Heartbeats in flight, and what the past ones showed.
+#[derive(Debug, Default)]
+pub(crate) struct Heartbeats {
+    /// Calls in flight, with the time of sending.
+    in_flight: HashMap<CallId, Duration>,
+    count: u64,
+    next_at: Duration,
+    /// Heartbeats that failed since the last one that was applied.
+    failed: u32,
+    store_failing: bool,
+}
+
+/// The condition that this VM is the owner, for writes to the cell's partition.
+pub(crate) fn owner_condition(cx: &Cx<'_>) -> Condition {
+    Condition {
+        key: rows::OWNER_KEY.into(),
+        version: cx.term.owner_version,
+    }
+}
+
+impl Owner {
+    /// Sends a heartbeat, if one is due.
+    pub(crate) fn send_due_heartbeat(&mut self, cx: &mut Cx<'_>) {
+        if cx.now() < self.heartbeats.next_at {
+            return;
+        }
+        self.heartbeats.next_at = cx.now() + cx.settings.timing.heartbeat_interval;
+        self.heartbeats.count += 1;
+        // Until the jobs are loaded, the previous owner's counts are repeated.
+        let pending = match self.recovery.tables_loaded {
+            true => self.pending(),
+            false => cx.term.heartbeat.pending.clone(),
+        };
+        let heartbeat = Heartbeat {
+            count: self.heartbeats.count,
+            clock: cx.term.store_clock(cx.now()),
+            // An unknown run of an earlier owner may lack a record too.
+            recorded: self.commits.is_all_recorded() && !self.may_have_unknown_runs(),
+            pending,
+            max_cpu_share: self
+                .policy_dispatcher
+                .max_helper_cpu_share()
+                .max(cx.settings.cpu_share),
+        };
+        let call = cx.next_call_id();
+        self.heartbeats.in_flight.insert(call, cx.now());
+        let transaction = Transaction {
+            conditions: vec![owner_condition(cx)],
+            writes: vec![put(rows::HEARTBEAT_KEY.into(), rows::encode(&heartbeat))],
+        };
+        cx.term.heartbeat = heartbeat;
+        cx.out.push(Effect::Commit {
+            call,
+            partition: CELL_PARTITION,
+            transaction,
+            timeout: None,
+        });
+    }
+
+    /// Handles the response to a heartbeat. Returns false when the call is not one.
+    pub(crate) fn heartbeat_answered(
+        &mut self,
+        call: CallId,
+        result: &Result<StoreResponse, StoreError>,
+        cx: &mut Cx<'_>,
+    ) -> bool {
+        let Some(sent_at) = self.heartbeats.in_flight.remove(&call) else {
+            return false;
+        };
+        match result {
+            Ok(StoreResponse::Applied { clock, .. }) => {
+                cx.term.confirm(sent_at);
+                cx.term.observe_store_clock(*clock, cx.now());
+                self.heartbeats.failed = 0;
+                self.place_due = true;
+                self.update_store_availability(None, cx);
+            }
+            Err(StoreError::Conflict(rows)) => self.verify_ownership(rows, cx),
+            Ok(StoreResponse::Rows { .. }) => {}
+            Err(error) => {
+                self.heartbeats.failed += 1;
+                self.update_store_availability(Some(error), cx);
+                self.maybe_request_successor(cx);
+            }
+        }
+        true
+    }
+
+    /// Asks for a successor when consecutive heartbeats fail and no write has been
+    /// confirmed for the handover time.
+    fn maybe_request_successor(&mut self, cx: &mut Cx<'_>) {
+        let unconfirmed = cx.now().saturating_sub(cx.term.confirmed_at);
+        let failing = self.heartbeats.failed >= HANDOVER_HEARTBEATS;
+        if failing && unconfirmed >= cx.settings.timing.handover_after {
+            self.request_takeover(cx);
+        }
+    }
+
+    /// Gives up ownership when the owner row has changed.
+    pub(crate) fn verify_ownership(&self, rows: &[Row], cx: &mut Cx<'_>) {
+        let row = rows.iter().find(|row| row.key == rows::OWNER_KEY);
+        if row.map(|row| row.cell.version) != Some(cx.term.owner_version) {
+            cx.term.become_follower();
+        }
+    }
+
+    /// Logs when the table service becomes unavailable or available again.
+    pub(crate) fn update_store_availability(
+        &mut self,
+        error: Option<&StoreError>,
+        cx: &mut Cx<'_>,
+    ) {
+        let fault = error.map(|error| format_compact!("{error}"));
+        match (self.heartbeats.store_failing, fault) {
+            (false, Some(fault)) => {
+                self.heartbeats.store_failing = true;
+                cx.log(Notice::StoreLost { fault });
+            }
+            (true, None) => {
+                self.heartbeats.store_failing = false;
+                cx.log(Notice::StoreBack);
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::{Condition, Graph, Hash, JobId, Name, Reason, Refusal, Stage, Transaction, Write};
+use model::{Condition, Hash, JobId, Name, Reason, Refusal, Stage, Transaction, Write};
 
 use crate::config::{Config, Queue};
 use crate::event::{
@@ -16,6 +16,7 @@
     Table, live_value,
 };
 use crate::notice::{Notice, ms};
+use crate::partition::PartitionId;
 use crate::rows::{self, JobRecord, Submission};
 use crate::settings::Settings;
 use crate::term::Term;
@@ -117,6 +118,8 @@
     team: Name,
     received_at: Duration,
     purpose: Purpose,
+    /// Partition of the job's rows.
+    partition: PartitionId,
 }
 
 /// Client requests in progress.
@@ -209,11 +212,57 @@
                 let refusal = Refusal::temporary(Reason::StoreDown, STORE_RETRY_AFTER);
                 cx.refuse(caller, id, &queue.name, refusal);
             }
-            RequestKind::Submit(graph) => self.submit(caller, queue, id, team, *graph, cx),
-            RequestKind::State => self.read_state(caller, queue, id, team, Purpose::ReadState, cx),
-            RequestKind::Cancel => {
-                self.read_state(caller, queue, id, team, Purpose::ReadForCancel, cx)
+            kind => self.handle_job_request(caller, queue, id, team, kind, cx),
+        }
+    }
+
+    /// Processes a request about one job. It is refused while the layout is not
+    /// known, and with it the partition of the job's rows.
+    fn handle_job_request(
+        &mut self,
+        caller: CallerId,
+        queue: &Queue,
+        id: &str,
+        team: Name,
+        kind: RequestKind,
+        cx: &mut Cx<'_>,
+    ) {
+        let Some(layout) = cx.term.layout else {
+            let refusal = Refusal::temporary(Reason::StoreDown, STORE_RETRY_AFTER);
+            cx.refuse(caller, id, &queue.name, refusal);
+            return;
+        };
+        let id = JobId::from(id.to_ascii_lowercase());
+        let call = |purpose: Purpose| PendingCall {
+            caller,
+            partition: layout.partition_of(&id),
+            id: id.clone(),
+            queue: queue.name.clone(),
+            team: team.clone(),
+            received_at: cx.now,
+            purpose,
+        };
+        match kind {
+            RequestKind::Submit(graph) if graph.verify().is_err() => {
+                let refusal = Refusal::permanent(Reason::BadRequest);
+                cx.refuse(caller, &id, &queue.name, refusal);
             }
+            RequestKind::Submit(graph) => {
+                let submission = Submission {
+                    queue: queue.name.clone(),
+                    service: queue.service.clone(),
+                    team: team.clone(),
+                    graph: *graph,
+                };
+                let pending = call(Purpose::Accept {
+                    submission: Box::new(submission),
+                    retries: 0,
+                    maybe_applied: false,
+                });
+                self.send_accept(pending, cx);
+            }
+            RequestKind::State => self.read_state(call(Purpose::ReadState), cx),
+            RequestKind::Cancel => self.read_state(call(Purpose::ReadForCancel), cx),
         }
     }
 
@@ -237,41 +286,6 @@
         }
     }
 
-    fn submit(
-        &mut self,
-        caller: CallerId,
-        queue: &Queue,
-        id: &str,
-        team: Name,
-        graph: Graph,
-        cx: &mut Cx<'_>,
-    ) {
-        if graph.verify().is_err() {
-            let refusal = Refusal::permanent(Reason::BadRequest);
-            cx.refuse(caller, id, &queue.name, refusal);
-            return;
-        }
-        let submission = Submission {
-            queue: queue.name.clone(),
-            service: queue.service.clone(),
-            team: team.clone(),
-            graph,
-        };
-        let pending = PendingCall {
-            caller,
-            id: id.to_ascii_lowercase().into(),
-            queue: queue.name.clone(),
-            team,
-            received_at: cx.now,
-            purpose: Purpose::Accept {
-                submission: Box::new(submission),
-                retries: 0,
-                maybe_applied: false,
-            },
-        };
-        self.send_accept(pending, cx);
-    }
-
     fn send_accept(&mut self, pending: PendingCall, cx: &mut Cx<'_>) {
         let Purpose::Accept { submission, .. } = &pending.purpose else {
             return;
@@ -293,39 +307,25 @@
             ],
         };
         let call = cx.next_call_id();
+        let partition = pending.partition;
         self.pending.insert(call, pending);
         cx.out.push(Effect::Commit {
             call,
+            partition,
             transaction,
             timeout: None,
         });
     }
 
-    fn read_state(
-        &mut self,
-        caller: CallerId,
-        queue: &Queue,
-        id: &str,
-        team: Name,
-        purpose: Purpose,
-        cx: &mut Cx<'_>,
-    ) {
-        let id = JobId::from(id.to_ascii_lowercase());
+    fn read_state(&mut self, pending: PendingCall, cx: &mut Cx<'_>) {
         let call = cx.next_call_id();
         cx.out.push(Effect::Scan {
             call,
+            partition: pending.partition,
             table: Table::State,
-            from: id.clone(),
+            from: pending.id.clone(),
             limit: 1,
         });
-        let pending = PendingCall {
-            caller,
-            id,
-            queue: queue.name.clone(),
-            team,
-            received_at: cx.now,
-            purpose,
-        };
         self.pending.insert(call, pending);
     }
 
@@ -429,6 +429,7 @@
         };
         cx.out.push(Effect::Commit {
             call,
+            partition: pending.partition,
             transaction,
             timeout: None,
         });
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -14,6 +14,7 @@
 
 use crate::event::CallId;
 use crate::fleet::ServerIx;
+use crate::partition::PartitionId;
 use crate::rows::{JobRecord, StepRecord, Submission};
 
 /// Index of a job, unique within one ownership term.
@@ -128,11 +129,15 @@
     }
 }
 
+/// Ticket of the external admission policy, with the time until which it can be
+/// used.
+pub(crate) type Ticket = (Name, Duration);
+
 /// Decisions of the external admission policy for a step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AdmissionState {
-    /// Ticket by backend server id, with the time until which it can be used.
-    pub(crate) tickets: HashMap<Name, (Name, Duration)>,
+    /// Tickets by backend server id.
+    pub(crate) tickets: HashMap<Name, Ticket>,
     /// Backend servers that the policy has allowed, including those whose
     /// ticket has expired since.
     pub(crate) allowed: HashSet<Name>,
@@ -174,6 +179,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub(crate) id: JobId,
+    /// Partition of its rows.
+    pub(crate) partition: PartitionId,
     pub(crate) queue: Name,
     /// Service to use if the queue is no longer configured.
     pub(crate) service: Name,
@@ -218,6 +225,7 @@
     /// owner may have started tasks of the job.
     pub(crate) fn new(
         id: JobId,
+        partition: PartitionId,
         row_version: u64,
         submission: Submission,
         inherited: bool,
@@ -225,6 +233,7 @@
     ) -> Self {
         Self {
             id,
+            partition,
             queue: submission.queue,
             service: submission.service,
             team: submission.team,
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -24,9 +24,10 @@
 const MAX_LISTED_ENDS: usize = 500;
 /// Delay before the stop of an orphan run is sent again.
 const ORPHAN_STOP_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Additional delay between renewals while the effects of ended runs are not yet
+/// Lower and upper bound of the additional delay between renewals while the effects of ended runs are not yet
 /// committed.
-const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(200);
+const UNACKNOWLEDGED_PAUSE: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(1_000));
 /// Delay between renewals of an unresponsive backend server that runs nothing.
 const IDLE_SERVER_RETRY: Duration = Duration::from_millis(1_000);
 /// Long-poll time of renewals while no write is confirmed. The responses must
@@ -42,6 +43,7 @@
             return;
         }
         let now = cx.now();
+        self.fleet.acknowledge(self.commits.written_change());
         let due: Vec<ServerIx> = self
             .fleet
             .live()
@@ -63,9 +65,12 @@
     fn is_renewal_due(&self, ix: ServerIx, now: Duration) -> bool {
         let server = self.fleet.get(ix);
         let acknowledged = server.processed_end == server.acknowledged_end;
+        // A server whose ends are not acknowledged answers at once, so a slow table
+        // service must not make this VM call all of them all the time.
+        let slow = self.commits.expected_latency() * 2;
         let pause = match acknowledged {
             true => Duration::ZERO,
-            false => UNACKNOWLEDGED_PAUSE,
+            false => slow.clamp(UNACKNOWLEDGED_PAUSE.0, UNACKNOWLEDGED_PAUSE.1),
         };
         now >= server.next_renewal_at + pause
     }
@@ -203,7 +208,6 @@
         if first {
             self.server_held(ix, lists, sent_at, cx);
         }
-        self.commits.due |= self.fleet.get(ix).processed_end != self.fleet.get(ix).acknowledged_end;
     }
 
     /// Handles the first response of a backend server in this term.
@@ -230,6 +234,9 @@
         if finished.number > server.processed_end {
             server.processed_end = finished.number;
             self.handle_run_end(ix, finished, cx);
+            let change = self.commits.last_change();
+            let server = self.fleet.get_mut(ix);
+            server.unacknowledged.push_back((finished.number, change));
         }
     }
 
@@ -317,7 +324,7 @@
         // The run must be recorded: a successor that can't reach this backend
         // server knows of it only by the record.
         self.mark_dirty(run.task.step.job);
-        self.commits.unrecorded_at = Some(cx.now());
+        self.commits.note_unrecorded();
         let label = self.run_label(run, ix);
         cx.log(Notice::RunAdopted {
             job: label.job,
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -16,6 +16,7 @@
 use crate::intake::{self, ActiveConfig, Intake};
 use crate::notice::{Notice, ms};
 use crate::owner::{Cx, Owner};
+use crate::partition::CELL_PARTITION;
 use crate::rows;
 use crate::settings::Settings;
 use crate::term::{Role, Term};
@@ -92,7 +93,8 @@
     pub fn is_ready(&self) -> bool {
         let current = self.active_config.age(self.time.now) < MAX_READY_CONFIG_AGE;
         let reachable = current && !self.active_config.unreachable;
-        self.draining_since.is_none() && self.active_config.config.version > 0 && reachable
+        let informed = self.active_config.config.version > 0 && self.term.layout.is_some();
+        self.draining_since.is_none() && informed && reachable
     }
 
     /// True while this node is the owner.
@@ -252,8 +254,12 @@
             () => self.with_owner(|owner, cx| {
                 // A response to a call of an earlier term matches nothing and is
                 // dropped.
-                let _ = owner.commit_answered(call, result, cx)
-                    || owner.page_answered(call, result, cx);
+                let _ = owner.heartbeat_answered(call, result, cx)
+                    || owner.group_commit_answered(call, result, cx)
+                    || owner.roster_answered(call, result, cx)
+                    || owner.fence_answered(call, result, cx)
+                    || owner.page_answered(call, result, cx)
+                    || owner.division_answered(call, result, cx);
             }),
         }
     }
@@ -282,6 +288,7 @@
         self.out.push(match self.cell_version {
             None => Effect::Scan {
                 call,
+                partition: CELL_PARTITION,
                 table: Table::Cell,
                 from: model::Name::default(),
                 limit: 100,
@@ -386,6 +393,7 @@
         self.claim = Some((call, self.time.now, owner));
         self.out.push(Effect::Commit {
             call,
+            partition: CELL_PARTITION,
             transaction,
             timeout: None,
         });
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -201,6 +201,12 @@
     AdviceFailed { job: Name, step: Name, fault: Name },
     /// A malformed row was skipped.
     RowMalformed { key: Name },
+    /// The layout row can't be used, so no row of a job can be found. An operator
+    /// has to repair it.
+    LayoutUnusable { fault: Name },
+    /// Rows of jobs in a build's single partition were copied to the job
+    /// partitions.
+    RowsDivided { jobs: u32, states: u32 },
     /// No event was handled for longer than expected; the VM was probably
     /// suspended.
     Woke { gap_ms: u64 },
@@ -257,6 +263,8 @@
             Self::AdviceFailed { .. } => 372,
             Self::RowMalformed { .. } => 380,
             Self::Woke { .. } => 381,
+            Self::LayoutUnusable { .. } => 382,
+            Self::RowsDivided { .. } => 383,
             Self::Paced { .. } => 390,
         }
     }
@@ -274,6 +282,7 @@
                 | Self::ServerHeldBack { .. }
                 | Self::AdviceFailed { .. }
                 | Self::RowMalformed { .. }
+                | Self::LayoutUnusable { .. }
                 | Self::Woke { .. }
         )
     }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -11,7 +11,7 @@
 use crate::accounts;
 use crate::event::{Effect, Metric, Order, OrderError, OrderResponse, Rejection};
 use crate::fleet::{ServerIx, ServerState};
-use crate::ledger::{JobIx, RunRef, RunState};
+use crate::ledger::{JobIx, RunRef, RunState, Ticket};
 use crate::notice::{Notice, ms};
 use crate::owner::{Cx, Owner, SentOrder};
 
@@ -62,7 +62,7 @@
     }
 
     fn send_unrecorded_start(&mut self, run: RunRef, cx: &mut Cx<'_>) {
-        self.commits.unrecorded_at = Some(cx.now());
+        self.commits.note_unrecorded();
         self.send_start(run, cx);
     }
 
@@ -86,6 +86,12 @@
         let Some((payload, checkpoint, ticket)) = self.start_details(run, server) else {
             return;
         };
+        // The ticket may have expired while the record was written.
+        if ticket.as_ref().is_some_and(|(_, until)| cx.now() >= *until) {
+            self.log_start_rejected(run, server, Rejection::BadTicket, cx);
+            self.discard_run(run, cx);
+            return;
+        }
         if let Some(placed) = self.ledger.runs.get_mut(&run) {
             placed.state = RunState::Starting;
             placed.ordered_at = cx.now();
@@ -97,14 +103,14 @@
             payload,
             lease_end,
             checkpoint,
-            ticket,
+            ticket: ticket.map(|(ticket, _)| ticket),
         };
         self.send_order(server, order, SentOrder::Start(run), cx);
     }
 
-    /// Payload, checkpoint and ticket for the start order of a run. The members
+    /// Payload, checkpoint, and ticket with its expiry, for the start order of a run. The members
     /// of a gang share the checkpoint of its first task.
-    fn start_details(&self, run: RunRef, server: ServerIx) -> Option<(Name, Name, Option<Name>)> {
+    fn start_details(&self, run: RunRef, server: ServerIx) -> Option<(Name, Name, Option<Ticket>)> {
         let step = run.task.step;
         let job = self.ledger.jobs.get(&step.job)?;
         let gang = self.ledger.spec(step)?.gang;
@@ -112,8 +118,7 @@
         let checkpoint = self.ledger.task(holder)?.checkpoint.clone();
         let id = &self.fleet.get(server).listing.id;
         let ticket = self.ledger.step(step)?.admission.tickets.get(id);
-        let ticket = ticket.map(|(ticket, _)| ticket.clone());
-        Some((job.graph.payload.clone(), checkpoint, ticket))
+        Some((job.graph.payload.clone(), checkpoint, ticket.cloned()))
     }
 
     /// Sends the start orders of runs that were planned before the table service
@@ -201,15 +206,19 @@
         }
     }
 
-    fn start_rejected(&mut self, run: RunRef, server: ServerIx, why: Rejection, cx: &mut Cx<'_>) {
+    fn log_start_rejected(&self, run: RunRef, server: ServerIx, why: Rejection, cx: &mut Cx<'_>) {
         let label = self.run_label(run, server);
         cx.log(Notice::StartRejected {
             job: label.job,
             task: label.task,
             run: run.number,
-            server: label.server.clone(),
+            server: label.server,
             why,
         });
+    }
+
+    fn start_rejected(&mut self, run: RunRef, server: ServerIx, why: Rejection, cx: &mut Cx<'_>) {
+        self.log_start_rejected(run, server, why, cx);
         self.place_due = true;
         match why {
             Rejection::Superseded => {
@@ -224,8 +233,9 @@
                 self.fleet.get_mut(server).unhealthy_until = cx.now() + UNHEALTHY_BACKOFF;
             }
             Rejection::BadTicket => {
+                let id = self.fleet.get(server).listing.id.clone();
                 if let Some(step) = self.ledger.step_mut(run.task.step) {
-                    step.admission.tickets.remove(&label.server);
+                    step.admission.tickets.remove(&id);
                 }
             }
             // The server may have another run of this task; its lists will show it.
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -13,11 +13,15 @@
 use crate::advice::PolicyDispatcher;
 use crate::commit::Commits;
 use crate::config::Config;
+use crate::divide::Division;
 use crate::event::{CallId, Effect, Listing, Order, OrderError, OrderResponse, Rejection, Time};
+use crate::fence::Fences;
 use crate::fleet::{Fleet, ServerIx, ServerState};
+use crate::heartbeat::Heartbeats;
 use crate::ledger::{JobIx, Ledger, RunRef, RunState};
 use crate::notice::Notice;
 use crate::recover::Recovery;
+use crate::roster::Roster;
 use crate::settings::Settings;
 use crate::term::Term;
 
@@ -72,6 +76,10 @@
     pub(crate) accounts: Accounts,
     pub(crate) policy_dispatcher: PolicyDispatcher,
     pub(crate) commits: Commits,
+    pub(crate) heartbeats: Heartbeats,
+    pub(crate) fences: Fences,
+    pub(crate) roster: Roster,
+    pub(crate) division: Division,
     pub(crate) recovery: Recovery,
     /// Orders in flight, with their backend server and fencing token.
     pub(crate) orders_in_flight: HashMap<CallId, (SentOrder, ServerIx, Epoch)>,
@@ -106,6 +114,10 @@
             accounts: Accounts::default(),
             policy_dispatcher: PolicyDispatcher::default(),
             commits: Commits::default(),
+            heartbeats: Heartbeats::default(),
+            fences: Fences::default(),
+            roster: Roster::default(),
+            division: Division::default(),
             recovery: Recovery::new(cx.now()),
             orders_in_flight: HashMap::new(),
             orphan_runs: HashMap::new(),
@@ -122,7 +134,7 @@
             waiting_steps: 0,
         };
         cx.out.push(Effect::WatchServers(true));
-        owner.start_scans(cx);
+        owner.start_recovery(cx);
         owner
     }
 
@@ -212,8 +224,8 @@
             Some(ix) if self.fleet.get(ix).listing.incarnation > listing.incarnation => {}
             Some(ix) => self.replace_incarnation(ix, listing, cx),
             None => {
+                self.roster.mark_changed(&listing.id);
                 self.fleet.add(listing, true);
-                self.commits.roster_due = true;
             }
         }
     }
@@ -249,7 +261,6 @@
         server.leases_expire_at = cx.now() + max_lease;
         // An earlier owner may reach it before this owner's fencing token does.
         server.inherited = may_have_prior_orders;
-        self.commits.roster_due = true;
         self.incarnation_ended(old, "a newer incarnation was seen", cx);
     }
 
@@ -287,7 +298,8 @@
         server.inherited = false;
         self.mark_inherited_terminal_jobs();
         self.orphan_runs.retain(|(server, _), _| *server != ix);
-        self.commits.roster_due = true;
+        let id = &self.fleet.get(ix).listing.id;
+        self.roster.mark_changed(id);
     }
 
     /// Ends all runs on a backend server.
@@ -328,9 +340,9 @@
 
     /// Schedules a job's state row for writing.
     pub(crate) fn mark_dirty(&mut self, job: JobIx) {
-        if let Some(job) = self.ledger.jobs.get_mut(&job) {
-            job.dirty = true;
-            self.commits.due = true;
+        if let Some(entry) = self.ledger.jobs.get_mut(&job) {
+            let queue = !std::mem::replace(&mut entry.dirty, true);
+            self.commits.record_change(job, entry.partition, queue);
         }
     }
 
@@ -362,7 +374,9 @@
             self.place(cx);
         }
         self.send_due_renewals(cx);
-        self.flush(cx);
+        self.send_due_heartbeat(cx);
+        self.send_due_roster(cx);
+        self.send_due_commits(cx);
         self.follow_jobs(cx);
     }
 
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -1,24 +1,24 @@
 //! Recovery of the state of an earlier owner: first from the rows, then from the
 //! backend servers' lists. Also follows the job table during the term.
 //!
+//! The rows of jobs are read only after every job partition is fenced.
+//!
 //! Invariant: no task starts that could be running on a backend server of the
 //! roster that has not answered and may still carry out orders of an earlier
 //! owner.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use model::{JobId, Name, Resources, Row};
 
 use crate::accounts;
-use crate::event::{
-    CallId, ChangeFeed, Effect, Listing, StoreError, StoreResponse, Table, live_value,
-};
+use crate::event::{CallId, ChangeFeed, Effect, StoreError, StoreResponse, Table, live_value};
 use crate::fleet::{ServerIx, ServerState};
 use crate::ledger::{Job, JobIx, RunState, StepRef};
-use crate::notice::Notice;
+use crate::notice::{Notice, ms};
 use crate::owner::{Cx, Owner};
-use crate::rows::{self, Heartbeat, JobKey, JobRecord, RosterEntry, RunRecord, Submission};
+use crate::partition::{CELL_PARTITION, Layout, PartitionId};
+use crate::rows::{self, Heartbeat, JobKey, JobRecord, RunRecord, Submission};
 
 /// Maximum number of rows in one page of a scan.
 const PAGE_ROWS: u32 = 500;
@@ -27,9 +27,15 @@
 /// Long-poll time for changes of the job table.
 const FOLLOW_WAIT: Duration = Duration::from_millis(5_000);
 
-/// A scan of a whole table.
-#[derive(Debug, Default)]
+/// Delay before the cell table is read again after a malformed layout row, which
+/// only an operator can repair.
+const LAYOUT_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+
+/// A scan of the rows of one table in one partition.
+#[derive(Debug)]
 struct TableScan {
+    table: Table,
+    partition: PartitionId,
     rows: Vec<Row>,
     call: Option<CallId>,
     /// First key of the next page, without the table's prefix.
@@ -40,6 +46,25 @@
     complete: bool,
 }
 
+/// Position in the sequence of reads with which a term begins.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    /// Reads the rows of the cell, among them the layout.
+    #[default]
+    Cell,
+    /// Replaces the fence rows of the job partitions.
+    Fencing,
+    /// Reads the rows of jobs that a build without partitions wrote.
+    Undivided,
+    /// Copies these to the job partitions and writes the layout row.
+    Copying,
+    /// Reads the rows of jobs, at the start of a term or after the change history
+    /// was lost.
+    Jobs,
+    /// Follows the job table.
+    Following,
+}
+
 /// Progress of the recovery, and position in the job table's changes.
 #[derive(Debug, Default)]
 pub(crate) struct Recovery {
@@ -49,7 +74,10 @@
     pub(crate) registry_loaded: bool,
     /// When the term began.
     began_at: Duration,
-    scans: HashMap<&'static str, TableScan>,
+    stage: Stage,
+    scans: Vec<TableScan>,
+    /// Layout of the cell; `None` until it is read.
+    layout: Option<Layout>,
     follow_call: Option<CallId>,
     follow_at: Option<Duration>,
     /// Version up to which changes of the job table were applied.
@@ -84,35 +112,55 @@
     pub(crate) fn may_have_prior_orders(&self, now: Duration) -> bool {
         now < self.prior_orders_until
     }
-}
 
-/// Tables scanned at the start of a term.
-const TABLES: [Table; 3] = [Table::Cell, Table::Job, Table::State];
+    /// When no order of an earlier owner can be in effect any more.
+    pub(crate) fn prior_orders_until(&self) -> Duration {
+        self.prior_orders_until
+    }
+
+    /// Removes the completed scans of a table and returns their rows.
+    fn take_rows(&mut self, table: Table) -> Vec<Row> {
+        let scans = self.scans.extract_if(.., |scan| scan.table == table);
+        scans.flat_map(|scan| scan.rows).collect()
+    }
+}
 
 impl Owner {
-    /// Starts the scans of all tables.
-    pub(crate) fn start_scans(&mut self, cx: &mut Cx<'_>) {
+    /// Starts to read the rows with which a term begins.
+    pub(crate) fn start_recovery(&mut self, cx: &mut Cx<'_>) {
         let timing = &cx.settings.timing;
         let longest = timing.ownership_validity + timing.lease.div_f64(timing.min_clock_rate);
         self.recovery.prior_orders_until = cx.now() + longest;
-        for table in TABLES {
-            let scan = TableScan::default();
-            self.recovery.scans.insert(table.prefix(), scan);
-            self.request_page(table, cx);
-        }
+        self.start_scan(Table::Cell, CELL_PARTITION, cx);
+        self.start_scan(Table::Roster, CELL_PARTITION, cx);
+    }
+
+    fn start_scan(&mut self, table: Table, partition: PartitionId, cx: &mut Cx<'_>) {
+        self.recovery.scans.push(TableScan {
+            table,
+            partition,
+            rows: Vec::new(),
+            call: None,
+            from: Name::default(),
+            retry_at: None,
+            version: None,
+            complete: false,
+        });
+        self.request_page(self.recovery.scans.len() - 1, cx);
     }
 
     /// Requests the next page of a scan.
-    fn request_page(&mut self, table: Table, cx: &mut Cx<'_>) {
+    fn request_page(&mut self, index: usize, cx: &mut Cx<'_>) {
         let call = cx.next_call_id();
-        let Some(scan) = self.recovery.scans.get_mut(table.prefix()) else {
+        let Some(scan) = self.recovery.scans.get_mut(index) else {
             return;
         };
         scan.call = Some(call);
         scan.retry_at = None;
         cx.out.push(Effect::Scan {
             call,
-            table,
+            partition: scan.partition,
+            table: scan.table,
             from: scan.from.clone(),
             limit: PAGE_ROWS,
         });
@@ -125,17 +173,10 @@
         result: &Result<StoreResponse, StoreError>,
         cx: &mut Cx<'_>,
     ) -> bool {
-        let scans = &self.recovery.scans;
-        let is_ours = |table: &Table| {
-            let scan = scans.get(table.prefix());
-            scan.is_some_and(|scan| scan.call == Some(call))
-        };
-        let Some(table) = TABLES.into_iter().find(is_ours) else {
+        let mut scans = self.recovery.scans.iter_mut().enumerate();
+        let Some((index, scan)) = scans.find(|(_, scan)| scan.call == Some(call)) else {
             return false;
         };
-        let Some(scan) = self.recovery.scans.get_mut(table.prefix()) else {
-            return true;
-        };
         scan.call = None;
         let Ok(StoreResponse::Rows {
             rows,
@@ -152,40 +193,147 @@
         scan.rows.extend(rows.iter().cloned());
         scan.complete = !more;
         if let Some(last) = rows.last().filter(|_| *more) {
-            let key = last.key.strip_prefix(table.prefix()).unwrap_or_default();
+            let key = last.key.strip_prefix(scan.table.prefix());
             // The smallest key greater than the last one read.
-            scan.from = compact_str::format_compact!("{key}\u{0}");
-            self.request_page(table, cx);
+            scan.from = compact_str::format_compact!("{}\u{0}", key.unwrap_or_default());
+            self.request_page(index, cx);
         }
-        if self.recovery.scans.values().all(|scan| scan.complete) {
-            self.load_tables(cx);
+        if self.recovery.scans.iter().all(|scan| scan.complete) {
+            self.scans_completed(cx);
         }
         true
     }
 
-    /// Loads the scanned rows: the whole state at the start of a term, or jobs
-    /// alone after a rescan.
-    fn load_tables(&mut self, cx: &mut Cx<'_>) {
-        let mut scans = std::mem::take(&mut self.recovery.scans);
-        let mut take = |table: Table| scans.remove(table.prefix()).unwrap_or_default();
-        let (cell, jobs, states) = (take(Table::Cell), take(Table::Job), take(Table::State));
-        self.recovery.followed_version = jobs.version.unwrap_or(0);
+    /// Goes on to the next stage of the recovery when all scans of one have ended.
+    fn scans_completed(&mut self, cx: &mut Cx<'_>) {
+        match self.recovery.stage {
+            Stage::Cell => self.cell_scanned(cx),
+            Stage::Undivided => {
+                self.recovery.stage = Stage::Copying;
+                let jobs = self.recovery.take_rows(Table::Job);
+                let states = self.recovery.take_rows(Table::State);
+                let layout = self.new_layout(cx);
+                self.divide_rows(layout, jobs, states, cx);
+            }
+            Stage::Jobs => self.load_jobs(cx),
+            Stage::Fencing | Stage::Copying | Stage::Following => {}
+        }
+    }
+
+    /// Loads the rows of the cell, and begins to fence the job partitions.
+    fn cell_scanned(&mut self, cx: &mut Cx<'_>) {
+        let find = |rows: &[Row], key: &str| rows.iter().find(|row| row.key == key).cloned();
+        let cell = self.recovery.take_rows(Table::Cell);
+        let row = find(&cell, rows::LAYOUT_KEY);
+        match row.as_ref().and_then(live_value).map(|b| Layout::decode(b)) {
+            Some(Ok(layout)) => self.recovery.layout = Some(layout),
+            None => {}
+            Some(Err(error)) => {
+                // Without the number of partitions no row of a job can be found.
+                cx.log(Notice::LayoutUnusable {
+                    fault: compact_str::format_compact!("{error}"),
+                });
+                self.recovery.scans.clear();
+                self.start_scan(Table::Cell, CELL_PARTITION, cx);
+                self.start_scan(Table::Roster, CELL_PARTITION, cx);
+                for scan in &mut self.recovery.scans {
+                    scan.call = None;
+                    scan.retry_at = Some(cx.now() + LAYOUT_RETRY_DELAY);
+                }
+                return;
+            }
+        }
+        let chunks = self.recovery.take_rows(Table::Roster);
+        let undivided = find(&cell, rows::UNDIVIDED_ROSTER_KEY);
+        self.load_roster(&chunks, undivided.as_ref(), cx);
+        self.load_last_heartbeat(&cell);
+        self.recovery.stage = Stage::Fencing;
+        let layout = self.recovery.layout;
+        let layout = layout.unwrap_or_else(|| self.new_layout(cx));
+        self.commits.open(layout);
+        self.start_fencing(layout, cx);
+    }
+
+    /// Layout of a cell that has none yet.
+    fn new_layout(&self, cx: &Cx<'_>) -> Layout {
+        Layout::new(cx.settings.job_partitions)
+    }
+
+    /// Begins to read the rows of jobs, once no earlier owner can write them.
+    pub(crate) fn partitions_fenced(&mut self, cx: &mut Cx<'_>) {
+        if self.recovery.stage != Stage::Fencing {
+            return;
+        }
+        match self.recovery.layout {
+            Some(layout) => self.scan_jobs(layout, cx),
+            None => {
+                self.recovery.stage = Stage::Undivided;
+                self.start_scan(Table::Job, CELL_PARTITION, cx);
+                self.start_scan(Table::State, CELL_PARTITION, cx);
+            }
+        }
+    }
+
+    /// Notes the layout that is now stored, and begins to read the rows of jobs.
+    pub(crate) fn layout_stored(&mut self, layout: Layout, cx: &mut Cx<'_>) {
+        cx.term.layout = Some(layout);
+        self.recovery.layout = Some(layout);
+        self.scan_jobs(layout, cx);
+    }
+
+    fn scan_jobs(&mut self, layout: Layout, cx: &mut Cx<'_>) {
+        cx.term.layout = Some(layout);
+        self.recovery.stage = Stage::Jobs;
+        self.recovery.scans.clear();
+        for partition in layout.partitions() {
+            self.start_scan(Table::Job, partition, cx);
+            if !self.recovery.tables_loaded {
+                self.start_scan(Table::State, partition, cx);
+            }
+        }
+    }
+
+    /// Loads the scanned rows of jobs: the whole state at the start of a term, or
+    /// new jobs alone after a rescan.
+    fn load_jobs(&mut self, cx: &mut Cx<'_>) {
+        let Some(layout) = self.recovery.layout else {
+            return;
+        };
+        let scans = std::mem::take(&mut self.recovery.scans);
+        // Changes are followed from the oldest of the scans.
+        let job_scans = scans.iter().filter(|scan| scan.table == Table::Job);
+        let version = job_scans.filter_map(|scan| scan.version).min();
+        self.recovery.followed_version = version.unwrap_or(0);
         // A rescan finds new jobs only if they were accepted during this term.
         let first = !self.recovery.tables_loaded;
-        self.load_roster(&cell.rows, cx);
-        for row in &jobs.rows {
-            self.apply_job_row(row, first, cx);
+        for scan in scans.iter().filter(|scan| scan.table == Table::Job) {
+            for row in &scan.rows {
+                let id = rows::parse_job_key(&row.key).map(|key| key.id().clone());
+                // Copies by an owner that chose another number of partitions.
+                if id.is_some_and(|id| layout.partition_of(&id) == scan.partition) {
+                    self.apply_job_row(row, first, cx);
+                }
+            }
+        }
+        for scan in scans.iter().filter(|scan| scan.table == Table::State) {
+            self.load_states(&scan.rows, scan.partition, layout, cx);
         }
-        self.load_states(&states.rows, cx);
         self.recovery.tables_loaded = true;
+        self.recovery.stage = Stage::Following;
         self.recovery.follow_at = Some(cx.now());
         self.place_due = true;
         if first {
-            self.load_last_heartbeat(&cell.rows);
             self.log_owner(self.recovery.began_at, cx);
         }
     }
 
+    /// Logs that this VM is the owner, once the tables are loaded.
+    fn log_owner(&self, since: Duration, cx: &mut Cx<'_>) {
+        let epoch = cx.term.epoch();
+        let took_ms = ms(cx.now().saturating_sub(since));
+        cx.log(Notice::Owner { epoch, took_ms });
+    }
+
     /// Loads the time of the previous owner's last heartbeat.
     fn load_last_heartbeat(&mut self, rows: &[Row]) {
         let row = rows.iter().find(|row| row.key == rows::HEARTBEAT_KEY);
@@ -197,51 +345,19 @@
         });
     }
 
-    fn load_roster(&mut self, rows: &[Row], cx: &mut Cx<'_>) {
-        let row = rows.iter().find(|row| row.key == rows::ROSTER_KEY);
-        let Some(bytes) = row.and_then(live_value) else {
-            return;
-        };
-        let Some(roster) = rows::decode::<Vec<RosterEntry>>(bytes) else {
-            cx.log(Notice::RowMalformed {
-                key: rows::ROSTER_KEY.into(),
-            });
-            return;
-        };
-        for entry in roster {
-            self.load_roster_entry(entry);
-        }
-    }
-
-    fn load_roster_entry(&mut self, entry: RosterEntry) {
-        let prior_orders_until = self.recovery.prior_orders_until;
-        let listed = self.fleet.find(&entry.id);
-        let same = |ix: &ServerIx| self.fleet.get(*ix).listing.incarnation == entry.incarnation;
-        let ix = match listed.filter(same) {
-            Some(ix) => ix,
-            // Another incarnation is in the registry, so this one has terminated.
-            None if listed.is_some() => return,
-            None => self.fleet.add(
-                Listing {
-                    id: entry.id,
-                    incarnation: entry.incarnation,
-                    address: entry.address,
-                    capacity: entry.capacity,
-                    ..Listing::default()
-                },
-                false,
-            ),
-        };
-        let server = self.fleet.get_mut(ix);
-        server.inherited = true;
-        server.state = ServerState::InRoster;
-        server.leases_expire_at = prior_orders_until;
-    }
-
-    fn load_states(&mut self, rows: &[Row], cx: &mut Cx<'_>) {
+    fn load_states(
+        &mut self,
+        rows: &[Row],
+        partition: PartitionId,
+        layout: Layout,
+        cx: &mut Cx<'_>,
+    ) {
         for row in rows {
             let id = row.key.strip_prefix(Table::State.prefix());
             let id = JobId::from(id.unwrap_or_default());
+            if layout.partition_of(&id) != partition {
+                continue;
+            }
             let record = live_value(row).and_then(|bytes| rows::decode::<JobRecord>(bytes));
             match (self.ledger.find(&id), record) {
                 (Some(ix), Some(record)) => {
@@ -249,7 +365,7 @@
                 }
                 (None, Some(record)) if record.stage.is_terminal() => {
                     let at = cx.now() + cx.settings.timing.state_retention;
-                    self.commits.expire(at, id);
+                    self.commits.expire(at, id, partition);
                 }
                 (None, Some(_)) => {}
                 (_, None) if row.cell.value.is_empty() => {}
@@ -315,7 +431,12 @@
                 match rows::decode::<Submission>(bytes) {
                     Some(submission) => {
                         let version = row.cell.version;
-                        let mut job = Job::new(id, version, submission, inherited, cx.now());
+                        let Some(layout) = self.recovery.layout else {
+                            return;
+                        };
+                        let partition = layout.partition_of(&id);
+                        let mut job =
+                            Job::new(id, partition, version, submission, inherited, cx.now());
                         // The arrival time of an inherited job is unknown, so it does
                         // not count against its team's rate.
                         job.beyond_rate = !inherited && !self.is_within_rate(&job.team, cx);
@@ -395,22 +516,25 @@
 
     /// Scans the whole job table again, after its change history was truncated.
     fn rescan_jobs(&mut self, cx: &mut Cx<'_>) {
-        let scan = TableScan::default();
-        self.recovery.scans.insert(Table::Job.prefix(), scan);
-        self.request_page(Table::Job, cx);
+        if let Some(layout) = self.recovery.layout {
+            self.scan_jobs(layout, cx);
+        }
     }
 
-    /// Retries failed reads and checks whether the recovery is complete.
+    /// Retries failed reads and writes of the recovery, and checks whether it is
+    /// complete.
     pub(crate) fn tick_recovery(&mut self, cx: &mut Cx<'_>) {
         let now = cx.now();
-        let due = |table: &Table| {
-            let scan = self.recovery.scans.get(table.prefix());
-            scan.is_some_and(|r| r.retry_at.is_some_and(|at| now >= at))
-        };
-        let due_tables: Vec<Table> = TABLES.into_iter().filter(due).collect();
-        for table in due_tables {
-            self.request_page(table, cx);
+        let scans = self.recovery.scans.iter().enumerate();
+        let due: Vec<usize> = scans
+            .filter(|(_, scan)| scan.retry_at.is_some_and(|at| now >= at))
+            .map(|(index, _)| index)
+            .collect();
+        for index in due {
+            self.request_page(index, cx);
         }
+        self.retry_fences(cx);
+        self.retry_division(cx);
         self.finish_recovery(cx);
     }
 
--- /dev/null
+++ b/crates/sched/src/roster.rs
@@ -0,0 +1,195 @@
+//! The roster: the backend servers that an owner may have given work to, as
+//! stored for its successor.
+//!
+//! The roster is divided into chunks, each a row, so that a change rewrites one
+//! small row and a fleet of thousands fits the table service's limit on the size
+//! of a row.
+//!
+//! Invariant: a backend server is called only after the row that lists it was
+//! written, on the version of the owner row.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use model::{Row, Transaction};
+
+use crate::commit::{put, remove};
+use crate::event::{CallId, Effect, Listing, StoreError, StoreResponse, live_value};
+use crate::fleet::{ServerIx, ServerState};
+use crate::heartbeat::owner_condition;
+use crate::notice::Notice;
+use crate::owner::{Cx, Owner};
+use crate::partition::CELL_PARTITION;
+use crate::rows::{self, RosterEntry};
+
+/// Number of chunks. With the table service's 64 KiB a row and some 60 bytes a
+/// backend server, all chunks together hold more than 10,000.
+const ROSTER_CHUNKS: u32 = 16;
+/// Delay before a failed write of the roster is retried.
+const WRITE_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Number of a chunk of the roster.
+type ChunkId = u32;
+
+/// Write of roster rows in flight.
+#[derive(Debug)]
+struct RosterWrite {
+    call: CallId,
+    chunks: BTreeSet<ChunkId>,
+    /// Backend servers that the written rows list.
+    listed: Vec<ServerIx>,
+}
+
+/// Changed chunks of the roster, and the write in flight.
+#[derive(Debug, Default)]
+pub(crate) struct Roster {
+    changed: BTreeSet<ChunkId>,
+    in_flight: Option<RosterWrite>,
+    next_write_at: Duration,
+    /// An earlier build's row with the whole roster exists.
+    has_undivided_row: bool,
+}
+
+/// Chunk that lists a backend server.
+fn chunk_of(id: &model::Name) -> ChunkId {
+    crc32fast::hash(id.as_bytes()) % ROSTER_CHUNKS
+}
+
+impl Roster {
+    /// Notes that a backend server was added, replaced or removed.
+    pub(crate) fn mark_changed(&mut self, id: &model::Name) {
+        self.changed.insert(chunk_of(id));
+    }
+}
+
+impl Owner {
+    /// Writes the changed chunks of the roster, if a write is due.
+    pub(crate) fn send_due_roster(&mut self, cx: &mut Cx<'_>) {
+        let roster = &self.roster;
+        let due = !roster.changed.is_empty() && cx.now() >= roster.next_write_at;
+        if !due || roster.in_flight.is_some() || !self.recovery.tables_loaded {
+            return;
+        }
+        let chunks = std::mem::take(&mut self.roster.changed);
+        let mut entries: BTreeMap<ChunkId, Vec<RosterEntry>> = BTreeMap::new();
+        let mut listed = Vec::new();
+        for ix in self.fleet.live() {
+            let listing = &self.fleet.get(ix).listing;
+            let chunk = chunk_of(&listing.id);
+            if chunks.contains(&chunk) {
+                listed.push(ix);
+                entries.entry(chunk).or_default().push(RosterEntry {
+                    id: listing.id.clone(),
+                    incarnation: listing.incarnation,
+                    address: listing.address.clone(),
+                    capacity: listing.capacity,
+                });
+            }
+        }
+        let write = |chunk: &ChunkId| match entries.get(chunk) {
+            Some(entries) => put(rows::roster_key(*chunk), rows::encode(entries)),
+            None => remove(rows::roster_key(*chunk)),
+        };
+        let mut writes: Vec<model::Write> = chunks.iter().map(write).collect();
+        if self.roster.has_undivided_row {
+            writes.push(remove(rows::UNDIVIDED_ROSTER_KEY.into()));
+        }
+        let call = cx.next_call_id();
+        self.roster.in_flight = Some(RosterWrite {
+            call,
+            chunks,
+            listed,
+        });
+        cx.out.push(Effect::Commit {
+            call,
+            partition: CELL_PARTITION,
+            transaction: Transaction {
+                conditions: vec![owner_condition(cx)],
+                writes,
+            },
+            timeout: None,
+        });
+    }
+
+    /// Handles the response to a write of the roster. Returns false when the call
+    /// is not one.
+    pub(crate) fn roster_answered(
+        &mut self,
+        call: CallId,
+        result: &Result<StoreResponse, StoreError>,
+        cx: &mut Cx<'_>,
+    ) -> bool {
+        let Some(write) = self.roster.in_flight.take_if(|write| write.call == call) else {
+            return false;
+        };
+        match result {
+            Ok(StoreResponse::Applied { clock, .. }) => {
+                cx.term.observe_store_clock(*clock, cx.now());
+                self.roster.has_undivided_row = false;
+                for ix in write.listed {
+                    let server = self.fleet.get_mut(ix);
+                    if server.state == ServerState::Discovered {
+                        server.state = ServerState::InRoster;
+                    }
+                }
+            }
+            Ok(StoreResponse::Rows { .. }) | Err(_) => {
+                if let Err(StoreError::Conflict(rows)) = result {
+                    self.verify_ownership(rows, cx);
+                }
+                self.roster.changed.extend(write.chunks);
+                self.roster.next_write_at = cx.now() + WRITE_RETRY_DELAY;
+            }
+        }
+        true
+    }
+
+    /// Loads the rows of the roster that an earlier owner wrote. `undivided` is the
+    /// row of a build that kept the whole roster in one.
+    pub(crate) fn load_roster(&mut self, chunks: &[Row], undivided: Option<&Row>, cx: &mut Cx<'_>) {
+        self.roster.has_undivided_row = undivided.is_some_and(|row| live_value(row).is_some());
+        for row in chunks.iter().chain(undivided) {
+            let Some(bytes) = live_value(row) else {
+                continue;
+            };
+            match rows::decode::<Vec<RosterEntry>>(bytes) {
+                Some(entries) => entries.into_iter().for_each(|e| self.load_roster_entry(e)),
+                None => cx.log(Notice::RowMalformed {
+                    key: row.key.clone(),
+                }),
+            }
+        }
+        if self.roster.has_undivided_row {
+            // Everything in the undivided row has to be written to the chunks.
+            self.roster.changed.extend(0..ROSTER_CHUNKS);
+        }
+    }
+
+    fn load_roster_entry(&mut self, entry: RosterEntry) {
+        let prior_orders_until = self.recovery.prior_orders_until();
+        let listed = self.fleet.find(&entry.id);
+        let same = |ix: &ServerIx| self.fleet.get(*ix).listing.incarnation == entry.incarnation;
+        let ix = match listed.filter(same) {
+            Some(ix) => ix,
+            // Another incarnation is in the registry, so this one has terminated.
+            None if listed.is_some() => {
+                self.roster.mark_changed(&entry.id);
+                return;
+            }
+            None => self.fleet.add(
+                Listing {
+                    id: entry.id,
+                    incarnation: entry.incarnation,
+                    address: entry.address,
+                    capacity: entry.capacity,
+                    ..Listing::default()
+                },
+                false,
+            ),
+        };
+        let server = self.fleet.get_mut(ix);
+        server.inherited = true;
+        server.state = ServerState::InRoster;
+        server.leases_expire_at = prior_orders_until;
+    }
+}
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -20,8 +20,13 @@
 pub(crate) const OWNER_KEY: &str = "cell/owner";
 /// Key of the owner's heartbeat row.
 pub(crate) const HEARTBEAT_KEY: &str = "cell/beat";
-/// Key of the roster: the backend servers that an owner may have given work to.
-pub(crate) const ROSTER_KEY: &str = "cell/roster";
+/// Key of the layout row: the number of job partitions.
+pub(crate) const LAYOUT_KEY: &str = "cell/layout";
+/// Key of the row in which earlier builds kept the whole roster.
+pub(crate) const UNDIVIDED_ROSTER_KEY: &str = "cell/roster";
+/// Key of the row of each job partition with the epoch of the last owner that
+/// wrote there.
+pub(crate) const FENCE_KEY: &str = "fence/epoch";
 /// Suffix of the key of a cancellation request.
 const CANCEL_SUFFIX: &str = "/cancel";
 
@@ -138,6 +143,11 @@
     postcard::from_bytes(bytes).ok()
 }
 
+/// Key of a chunk of the roster.
+pub(crate) fn roster_key(chunk: u32) -> Name {
+    format_compact!("{}{chunk:02}", Table::Roster.prefix())
+}
+
 /// Key of a job's submission row.
 pub(crate) fn job_key(id: &JobId) -> Name {
     format_compact!("{}{id}", Table::Job.prefix())
@@ -159,6 +169,15 @@
     Cancel(JobId),
 }
 
+impl JobKey {
+    /// The job that the row belongs to.
+    pub(crate) fn id(&self) -> &JobId {
+        match self {
+            Self::Submission(id) | Self::Cancel(id) => id,
+        }
+    }
+}
+
 /// Parses a key of the job table; `None` when it has another prefix.
 pub(crate) fn parse_job_key(key: &str) -> Option<JobKey> {
     let rest = key.strip_prefix(Table::Job.prefix())?;
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -83,8 +83,8 @@
             suspected_owner_timeout: ms(650),
             handover_after: ms(700),
             ownership_validity: ms(3_000),
-            unrecorded_start_after: ms(2_600),
-            record_trust_window: ms(2_050),
+            unrecorded_start_after: ms(3_800),
+            record_trust_window: ms(3_250),
             majority_max_age: ms(500),
             new_server_max_write_age: ms(600),
             lease: ms(5_000),
@@ -120,6 +120,9 @@
     /// Factor on the run time of tasks placed outside the rack that holds their data;
     /// 1 makes the distance irrelevant.
     pub remote_factor: f64,
+    /// Number of partitions for the rows of jobs in a cell that is created now; a
+    /// cell that exists keeps its number.
+    pub job_partitions: u32,
     /// Timeouts, intervals and clock bounds; must satisfy the relations stated at the
     /// fields of [`Timing`].
     pub timing: Timing,
--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -10,6 +10,7 @@
 use model::{Epoch, Row};
 
 use crate::event::live_value;
+use crate::partition::Layout;
 use crate::rows::{self, Heartbeat, OwnerRow};
 use crate::settings::Settings;
 
@@ -53,6 +54,8 @@
     /// The owner's heartbeat as last read or sent.
     pub(crate) heartbeat: Heartbeat,
     heartbeat_version: u64,
+    /// Layout of the cell's rows; `None` until it is read or stored.
+    pub(crate) layout: Option<Layout>,
     /// When the owner row or the heartbeat last changed, or contact with the table
     /// service was regained; `None` until the rows are read.
     owner_active_at: Option<Duration>,
@@ -82,6 +85,7 @@
             owner_version: 0,
             heartbeat: Heartbeat::default(),
             heartbeat_version: 0,
+            layout: None,
             owner_active_at: None,
             current_at: Duration::ZERO,
             confirmed_at: Duration::ZERO,
@@ -179,6 +183,10 @@
                 }
                 Some(false)
             }
+            (rows::LAYOUT_KEY, Some(bytes)) => {
+                self.layout = Some(Layout::decode(bytes).ok()?);
+                Some(false)
+            }
             _ => Some(false),
         }
     }
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -21,6 +21,7 @@
         address: name.into(),
         cpu_share,
         remote_factor: 2.0,
+        job_partitions: 2,
         timing: Timing::default(),
     }
 }
--- a/crates/standin/examples/graphs.rs
+++ b/crates/standin/examples/graphs.rs
@@ -3,9 +3,10 @@
 //! Invariant: the exit status is 1 if a guarantee was violated.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Arg, ArgAction, Command, value_parser};
-use standin::graphs::{Fault, Simulation, SimulationOptions};
+use standin::graphs::{Burst, Fault, Simulation, SimulationOptions};
 
 fn main() -> ExitCode {
     let args = Command::new("graphs")
@@ -47,6 +48,19 @@
                 .value_parser(value_parser!(u64).range(1..))
                 .help("Mean time between two job submissions in ms; used with --servers"),
         )
+        .arg(
+            Arg::new("partitions")
+                .long("partitions")
+                .default_value("6")
+                .value_parser(value_parser!(u32).range(1..))
+                .help("Number of partitions, each of which executes one transaction in 6 ms; used with --servers"),
+        )
+        .arg(
+            Arg::new("burst")
+                .long("burst")
+                .value_parser(value_parser!(f64))
+                .help("Multiple of the usual rate of submissions from second 5 to second 9; used with --servers"),
+        )
         .get_matches();
     let seed = args.get_one::<u64>("seed").copied().unwrap_or(1);
     let fault_names = args.get_many::<String>("fault").into_iter().flatten();
@@ -71,6 +85,13 @@
             job_gap: job_gap / 4..job_gap * 7 / 4 + 1,
             team_limit: u32::MAX,
             verify: false,
+            job_partitions: args.get_one("partitions").copied().unwrap_or(6),
+            partition_time: Duration::from_millis(6),
+            burst: args.get_one("burst").map(|factor| Burst {
+                begin: Duration::from_secs(5),
+                end: Duration::from_secs(9),
+                factor: *factor,
+            }),
         },
     };
     let simulation = Simulation::with_options(seed, &faults, options);
@@ -85,6 +106,15 @@
         "accepted {} completed {} starts {} longest time without owner {:?}",
         report.accepted, report.completed, report.starts, report.max_ownerless
     );
+    for second in (1..14).step_by(2) {
+        let window = Duration::from_secs(second)..Duration::from_secs(second + 2);
+        let delays = report.start_delays.iter();
+        let delays = delays.filter(|(at, _)| window.contains(at));
+        let mut delays: Vec<Duration> = delays.map(|(_, delay)| *delay).collect();
+        delays.sort_unstable();
+        let median = delays.get(delays.len() / 2).copied().unwrap_or_default();
+        println!("submitted from second {second}: median time to start {median:?}");
+    }
     println!(
         "owner processing time {:?}, longest for one event {:?}",
         report.owner_step_time, report.longest_owner_step
--- a/crates/standin/src/graphs.rs
+++ b/crates/standin/src/graphs.rs
@@ -16,4 +16,4 @@
 
 pub use checks::GuaranteeViolation;
 pub use faults::Fault;
-pub use world::{Report, Simulation, SimulationOptions};
+pub use world::{Burst, Report, Simulation, SimulationOptions};
--- a/crates/standin/src/graphs/callers.rs
+++ b/crates/standin/src/graphs/callers.rs
@@ -48,6 +48,7 @@
     pub(crate) team: Name,
     pub(crate) graph: Graph,
     pub(crate) kind: JobKind,
+    pub(crate) submitted_at: Duration,
     pub(crate) accepted_at: Option<Duration>,
     pub(crate) refused: bool,
     /// A submission had an unknown outcome, so the job may run although a later
@@ -64,7 +65,7 @@
 
 impl ClientJob {
     /// Generates the `n`th job of a simulation.
-    pub(crate) fn new(n: u64, rng: &mut fastrand::Rng) -> Self {
+    pub(crate) fn new(n: u64, now: Duration, rng: &mut fastrand::Rng) -> Self {
         let kind = match rng.u32(0..10) {
             0..6 => JobKind::Chain,
             6..8 => JobKind::Gang,
@@ -87,6 +88,7 @@
             },
             team: team.into(),
             kind,
+            submitted_at: now,
             accepted_at: None,
             refused: false,
             submission_unknown: false,
--- a/crates/standin/src/graphs/checks.rs
+++ b/crates/standin/src/graphs/checks.rs
@@ -89,8 +89,8 @@
     failed_runs: HashMap<TaskId, HashSet<Attempt>>,
     acknowledged_failures: HashMap<TaskId, HashSet<Attempt>>,
     pub(crate) starts: u64,
-    /// Jobs of which a task has started.
-    started_jobs: HashSet<JobId>,
+    /// Jobs of which a task has started, with the time of the first start.
+    pub(crate) started_jobs: HashMap<JobId, Duration>,
     /// Limit on the processors of a team's running tasks, in millicpus.
     team_limit: u32,
 }
@@ -150,7 +150,7 @@
         violations: &mut Vec<GuaranteeViolation>,
     ) {
         self.starts += 1;
-        self.started_jobs.insert(run.task.job.clone());
+        self.started_jobs.entry(run.task.job.clone()).or_insert(now);
         let task = &run.task;
         let label = || task_label(task);
         let active_runs = servers
@@ -322,7 +322,7 @@
             let is_due = job
                 .accepted_at
                 .is_some_and(|at| now > at + PENDING_COUNT_DELAY);
-            let has_started = self.started_jobs.contains(&job.id);
+            let has_started = self.started_jobs.contains_key(&job.id);
             job.queue == queue && is_due && !has_started && !job.cancel_requested
         };
         let waiting = jobs.values().filter(is_waiting).count() as u32;
--- a/crates/standin/src/graphs/store.rs
+++ b/crates/standin/src/graphs/store.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use model::{Cell, Name, Row, Transaction};
-use sched::{CallId, ChangeFeed, StoreError, StoreResponse, Table};
+use sched::{CallId, ChangeFeed, PartitionId, StoreError, StoreResponse, Table};
 
 /// A pending call that follows the changes of a table.
 #[derive(Debug)]
@@ -24,7 +24,7 @@
 /// Rows and their change history.
 #[derive(Debug, Default)]
 pub(crate) struct Store {
-    rows: BTreeMap<Name, Cell>,
+    rows: BTreeMap<(PartitionId, Name), Cell>,
     change_log: Vec<(u64, Name, Option<Bytes>)>,
     version: u64,
     /// Changes up to this version are no longer retained.
@@ -39,16 +39,18 @@
     /// its conditions otherwise.
     pub(crate) fn commit(
         &mut self,
+        partition: PartitionId,
         transaction: &Transaction,
     ) -> Result<StoreResponse, StoreError> {
-        let version_of = |key: &Name| self.rows.get(key).map_or(0, |cell| cell.version);
+        let row_of = |key: &Name| self.rows.get(&(partition, key.clone()));
+        let version_of = |key: &Name| row_of(key).map_or(0, |cell| cell.version);
         let conditions_hold = transaction
             .conditions
             .iter()
             .all(|condition| version_of(&condition.key) == condition.version);
         if !conditions_hold {
             let rows = transaction.conditions.iter().filter_map(|condition| {
-                let cell = self.rows.get(&condition.key)?.clone();
+                let cell = row_of(&condition.key)?.clone();
                 let key = condition.key.clone();
                 Some(Row { key, cell })
             });
@@ -60,9 +62,10 @@
             match &write.value {
                 Some(value) => {
                     let value = value.clone();
-                    self.rows.insert(write.key.clone(), Cell { version, value });
+                    let key = (partition, write.key.clone());
+                    self.rows.insert(key, Cell { version, value });
                 }
-                None => drop(self.rows.remove(&write.key)),
+                None => drop(self.rows.remove(&(partition, write.key.clone()))),
             }
             let entry = (version, write.key.clone(), write.value.clone());
             self.change_log.push(entry);
@@ -73,17 +76,23 @@
         })
     }
 
-    /// Reads a page of a table's rows, starting at a key.
-    pub(crate) fn scan(&self, table: Table, from: &str, limit: u32) -> StoreResponse {
+    /// Reads a page of a table's rows in a partition, starting at a key.
+    pub(crate) fn scan(
+        &self,
+        partition: PartitionId,
+        table: Table,
+        from: &str,
+        limit: u32,
+    ) -> StoreResponse {
         let prefix = table.prefix();
         let start = compact_str::format_compact!("{prefix}{from}");
         let matching = self
             .rows
-            .range(start..)
-            .take_while(|(key, _)| key.starts_with(prefix));
+            .range((partition, start)..)
+            .take_while(|((part, key), _)| *part == partition && key.starts_with(prefix));
         let mut rows: Vec<Row> = matching
             .take(limit as usize + 1)
-            .map(|(key, cell)| Row {
+            .map(|((_, key), cell)| Row {
                 key: key.clone(),
                 cell: cell.clone(),
             })
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -15,8 +15,8 @@
 use model::{JobId, Name, Resources, Stage, Transaction, key};
 use sched::{
     AdmissionPolicy, CallId, CallerId, Config, Effect, Event, Listing, Node, Offer, OfferResponse,
-    Order, PolicyDecision, PolicyQuery, Queue, Reply, Service, Settings, StoreError, StoreResponse,
-    Team, Time, Timing,
+    Order, PartitionId, PolicyDecision, PolicyQuery, Queue, Reply, Service, Settings, StoreError,
+    StoreResponse, Team, Time, Timing,
 };
 
 use crate::graphs::callers::{ClientJob, ClientJobs};
@@ -27,6 +27,9 @@
 
 /// Number of entry VMs; each is in a data centre of its own.
 const VM_COUNT: usize = 3;
+/// Time that transactions may wait for their partition before the table service
+/// rejects further ones.
+const MAX_PARTITION_BACKLOG: Duration = Duration::from_secs(1);
 /// One-way network latency between any two participants.
 const NETWORK_LATENCY: Duration = Duration::from_millis(1);
 /// Time from sending a transaction to its application.
@@ -67,6 +70,24 @@
     /// Checks the consistency of the owner's state after each event, which is
     /// slow.
     pub verify: bool,
+    /// Number of partitions of the rows of jobs.
+    pub job_partitions: u32,
+    /// Time for which a transaction occupies its partition of the table service;
+    /// zero if partitions execute any number at the same time.
+    pub partition_time: Duration,
+    /// Period with more submissions than usual, if any.
+    pub burst: Option<Burst>,
+}
+
+/// A period in which clients submit more jobs.
+#[derive(Clone, Copy, Debug)]
+pub struct Burst {
+    /// Simulated time at which it begins.
+    pub begin: Duration,
+    /// Simulated time at which it ends.
+    pub end: Duration,
+    /// Multiple of the usual rate of submissions.
+    pub factor: f64,
 }
 
 impl Default for SimulationOptions {
@@ -76,6 +97,9 @@
             job_gap: 30..220,
             team_limit: 24_000,
             verify: true,
+            job_partitions: 3,
+            partition_time: Duration::ZERO,
+            burst: None,
         }
     }
 }
@@ -97,7 +121,7 @@
 enum Action {
     Deliver(usize, u64, Box<Event>),
     Tick(usize, u64),
-    ApplyTransaction(usize, u64, CallId, Transaction),
+    ApplyTransaction(usize, u64, CallId, PartitionId, Transaction),
     DeliverOrder(usize, u64, CallId, usize, u64, Box<Order>),
     /// Order that a backend server has received and executes with a delay,
     /// unless the server restarts before: index and incarnation of the server,
@@ -144,6 +168,9 @@
     pub owner_step_time: Duration,
     /// Longest wall-clock time that the owner took to process one event.
     pub longest_owner_step: Duration,
+    /// Time of submission of each accepted job, with the time from then until its
+    /// first task started, or until the end of the simulation.
+    pub start_delays: Vec<(Duration, Duration)>,
 }
 
 /// A simulation of entry VMs, a table service, backend servers and clients.
@@ -172,11 +199,13 @@
     faults_settled_at: Duration,
     /// True while a delayed order is being executed.
     executing_late_order: bool,
+    /// Until when transactions occupy a partition of the table service.
+    partition_busy_until: HashMap<PartitionId, Duration>,
     trace: bool,
     options: SimulationOptions,
 }
 
-fn settings(vm: usize, process: u64) -> Settings {
+fn settings(vm: usize, process: u64, job_partitions: u32) -> Settings {
     Settings {
         name: format_compact!("vm-{vm}"),
         process,
@@ -184,6 +213,7 @@
         // The first VM has less CPU, so that it hands ownership over to others.
         cpu_share: if vm == 0 { 0.1 } else { 0.25 },
         remote_factor: 2.0,
+        job_partitions,
         timing: Timing::default(),
     }
 }
@@ -259,6 +289,7 @@
             store_settled_at: Duration::ZERO,
             faults_settled_at: Duration::ZERO,
             executing_late_order: false,
+            partition_busy_until: HashMap::new(),
             trace: false,
             rng,
             options,
@@ -280,7 +311,11 @@
         let mut n = 0;
         while at < LAST_SUBMISSION {
             simulation.schedule_at(at, Action::SubmitJob(n));
-            at += Duration::from_millis(simulation.rng.u64(simulation.options.job_gap.clone()));
+            let gap = simulation.rng.u64(simulation.options.job_gap.clone());
+            let burst = simulation.options.burst;
+            let burst = burst.filter(|burst| (burst.begin..burst.end).contains(&at));
+            let factor = burst.map_or(1.0, |burst| burst.factor);
+            at += Duration::from_millis(gap).div_f64(factor);
             n += 1;
         }
         for fault in faults {
@@ -305,7 +340,11 @@
             unix: self.now,
         };
         Vm {
-            node: Node::new(settings(vm, id), self.rng.u64(..), time),
+            node: Node::new(
+                settings(vm, id, self.options.job_partitions),
+                self.rng.u64(..),
+                time,
+            ),
             process,
             up: true,
             suspended: false,
@@ -358,6 +397,14 @@
         let completed = |job: &&ClientJob| job.reported_stage == Some(Stage::Completed);
         self.report.completed = self.jobs.values().filter(completed).count() as u32;
         self.report.starts = self.checker.starts;
+        let jobs = self.jobs.values();
+        let accepted = jobs.filter(|job| job.accepted_at.is_some());
+        let delay = |job: &ClientJob| {
+            let started_at = self.checker.started_jobs.get(&job.id).copied();
+            let delay = started_at.unwrap_or(end).saturating_sub(job.submitted_at);
+            (job.submitted_at, delay)
+        };
+        self.report.start_delays = accepted.map(delay).collect();
         self.report
     }
 
@@ -395,8 +442,8 @@
         match action {
             Action::Deliver(vm, process, event) => self.deliver(vm, process, *event),
             Action::Tick(vm, process) => self.tick(vm, process),
-            Action::ApplyTransaction(vm, process, call, transaction) => {
-                let result = self.store.commit(&transaction);
+            Action::ApplyTransaction(vm, process, call, partition, transaction) => {
+                let result = self.store.commit(partition, &transaction);
                 self.wake_waiters();
                 self.deliver_store_response(vm, process, call, result);
             }
@@ -500,16 +547,20 @@
         match effect {
             Effect::Reply { caller, reply } => self.handle_reply(vm, caller, reply),
             Effect::Commit {
-                call, transaction, ..
-            } => self.commit(vm, process, call, transaction),
+                call,
+                partition,
+                transaction,
+                ..
+            } => self.commit(vm, process, call, partition, transaction),
             Effect::Scan {
                 call,
+                partition,
                 table,
                 from,
                 limit,
             } => {
                 let result = match self.reaches_store(vm) {
-                    true => Ok(self.store.scan(table, &from, limit)),
+                    true => Ok(self.store.scan(partition, table, &from, limit)),
                     false => Err(StoreError::Unavailable),
                 };
                 let latency = match self.is_fault_active(Fault::StoreForgets) {
@@ -575,7 +626,14 @@
         }
     }
 
-    fn commit(&mut self, vm: usize, process: u64, call: CallId, transaction: Transaction) {
+    fn commit(
+        &mut self,
+        vm: usize,
+        process: u64,
+        call: CallId,
+        partition: PartitionId,
+        transaction: Transaction,
+    ) {
         let lost = self.is_fault_active(Fault::StoreLost) && self.rng.f64() < 0.35;
         let unavailable = self.is_fault_active(Fault::StoreLost) && self.rng.f64() < 0.2;
         if unavailable {
@@ -590,8 +648,14 @@
         }
         match (self.reaches_store(vm), lost) {
             (true, false) => {
-                let at = self.now + COMMIT_LATENCY;
-                self.schedule_at(at, Action::ApplyTransaction(vm, process, call, transaction));
+                let Some(at) = self.execution_time(partition) else {
+                    let result = Err(StoreError::Unavailable);
+                    let event = Event::StoreAnswered { call, result };
+                    self.deliver_after(vm, process, NETWORK_LATENCY * 4, event);
+                    return;
+                };
+                let action = Action::ApplyTransaction(vm, process, call, partition, transaction);
+                self.schedule_at(at, action);
             }
             (true, true) => {
                 // Applied after up to 4 s; the response is lost.
@@ -599,7 +663,7 @@
                 let at = self.now + delay;
                 self.schedule_at(
                     at,
-                    Action::ApplyTransaction(vm, u64::MAX, call, transaction),
+                    Action::ApplyTransaction(vm, u64::MAX, call, partition, transaction),
                 );
                 let result = Err(StoreError::Unknown);
                 self.deliver_after(
@@ -631,6 +695,22 @@
         }
     }
 
+    /// Returns when a transaction that arrives now is executed, or `None` if too many
+    /// others wait for its partition.
+    fn execution_time(&mut self, partition: PartitionId) -> Option<Duration> {
+        let time = self.options.partition_time;
+        if time.is_zero() {
+            return Some(self.now + COMMIT_LATENCY);
+        }
+        let busy_until = self.partition_busy_until.entry(partition).or_default();
+        let begin = self.now.max(*busy_until);
+        if begin > self.now + MAX_PARTITION_BACKLOG {
+            return None;
+        }
+        *busy_until = begin + time;
+        Some(*busy_until)
+    }
+
     fn deliver_store_response(
         &mut self,
         vm: usize,
--- a/crates/standin/src/graphs/world/calling.rs
+++ b/crates/standin/src/graphs/world/calling.rs
@@ -16,7 +16,7 @@
 
 impl Simulation {
     pub(super) fn submit_new_job(&mut self, n: u64) {
-        let job = ClientJob::new(n, &mut self.rng);
+        let job = ClientJob::new(n, self.now, &mut self.rng);
         let id = job.id.clone();
         if self.rng.u32(0..12) == 0 || job.kind == JobKind::Service {
             let wait = Duration::from_millis(self.rng.u64(500..6_000));
