Policy queries by need, and bounded placement passes

Cause: a query named the first 100 servers of the fleet, so those were full and the others idle, a wide gang found no room, and a query took up to 0.85 s where a third of the servers would do.

Change: policy::shortlist chooses the servers with the most room until twice the need is likely granted, spread by a hash; servers with room come before all others. A pass looks only at servers with tickets to start a step, examines a bounded number of servers for steps that can't start, and stops when as many starts are in flight as the VM sends in 200 ms. A start whose ticket expired while it was recorded is not sent.

--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -13,6 +13,7 @@
 
 use compact_str::format_compact;
 use model::Name;
+use policy::shortlist::GrantRate;
 
 use crate::event::{
     CallId, CallerId, Effect, Metric, Offer, OfferResponse, PolicyDecision, PolicyError,
@@ -24,7 +25,7 @@
 use crate::owner::{Cx, Owner};
 
 /// Maximum number of backend servers in one query.
-const MAX_SERVERS_PER_QUERY: usize = 100;
+pub(crate) const MAX_SERVERS_PER_QUERY: usize = 100;
 /// Expected duration from which a query counts as long. With more than
 /// `RESERVED_FOR_SHORT` helpers, long queries do not take the last idle VMs.
 const LONG_QUERY: Duration = Duration::from_millis(100);
@@ -72,6 +73,8 @@
     helpers: BTreeMap<Name, Helper>,
     /// Query that this VM itself has sent to the policy.
     local_query: Option<CallId>,
+    /// How often the policy of each queue allows a server.
+    grant_rates: HashMap<Name, GrantRate>,
 }
 
 impl PolicyDispatcher {
@@ -80,6 +83,11 @@
         self.helpers.iter().filter(idle).map(|(name, _)| name)
     }
 
+    /// How often the policy of a queue allows a server.
+    pub(crate) fn grant_rate(&self, queue: &Name) -> GrantRate {
+        self.grant_rates.get(queue).copied().unwrap_or_default()
+    }
+
     /// Largest CPU share of any helper; zero if there is none.
     pub(crate) fn max_helper_cpu_share(&self) -> f64 {
         let shares = self.helpers.values().map(|helper| helper.cpu_share);
@@ -151,7 +159,6 @@
     ) {
         let server_ids: Vec<Name> = servers
             .iter()
-            .take(MAX_SERVERS_PER_QUERY)
             .map(|ix| self.fleet.get(*ix).listing.id.clone())
             .collect();
         let Some(job) = self.ledger.jobs.get(&step.job).map(|job| job.id.clone()) else {
@@ -300,7 +307,7 @@
         cx.out.push(Effect::RecordMetric {
             metric: Metric::PolicyCall,
             team,
-            queue,
+            queue: queue.clone(),
             value: elapsed,
         });
         let Some(state) = self.ledger.step_mut(pending.step) else {
@@ -308,6 +315,12 @@
         };
         let admission = &mut state.admission;
         admission.query = None;
+        let is_new = |server: &&Name| !admission.allowed.contains(*server);
+        let named = pending.query.servers.iter().filter(is_new).count();
+        let granted = decision.granted.iter().map(|(server, _)| server);
+        let granted = granted.filter(is_new).count();
+        let rate = self.policy_dispatcher.grant_rates.entry(queue).or_default();
+        rate.record(granted, named);
         for server in &pending.query.servers {
             admission.denied.insert(server.clone());
         }
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -7,17 +7,19 @@
 //! Invariant: a pass never reserves more of a backend server than is free, and
 //! never starts a task while a run of it may exist.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use model::{Attempt, Name, Resources, Step, StepIndex, TaskIndex};
 use policy::fit::Candidate;
 use policy::rank::{Rank, WaitingStep};
+use policy::shortlist::{Prospect, shortlist};
 
+use crate::advice::MAX_SERVERS_PER_QUERY;
 use crate::config::AdmissionPolicy;
 use crate::event::RUN_NUMBERS_PER_EPOCH;
 use crate::fleet::ServerIx;
-use crate::ledger::{Job, JobIx, StepRef, StepState};
+use crate::ledger::{Job, JobIx, Placement, RunState, StepRef, StepState};
 use crate::owner::{Cx, Owner};
 
 /// Blocked gangs may reserve at most one in this many of a service's backend
@@ -27,6 +29,17 @@
 /// remaining ones: the service is full, and a pass has to stay short under a
 /// long backlog.
 const MAX_BLOCKED_STEPS: usize = 32;
+/// Number of backend servers that a pass examines for steps that can't start yet:
+/// to withhold room from lower-ranked steps and to choose what to ask the external
+/// policy about. A pass over a long backlog thereby costs a few milliseconds on one
+/// full core, and the highest-ranked steps are examined.
+const MAX_EXAMINED: usize = 12_000;
+/// Time that examining one backend server takes on one full core.
+const TIME_PER_EXAMINED: Duration = Duration::from_nanos(300);
+/// Number of start orders that may wait for their record or for a response, for
+/// each full core of this VM: those that it sends in some 200 ms. More would only
+/// wait here while their tickets expire.
+const STARTS_IN_FLIGHT_PER_CORE: f64 = 800.0;
 /// Time that a pass takes per waiting step on one full core, with 2,000 waiting
 /// steps.
 const PASS_TIME_PER_STEP: Duration = Duration::from_micros(2);
@@ -63,16 +76,23 @@
     reserved_servers: usize,
     /// Number of steps that found no backend server in this pass.
     blocked_steps: usize,
+    /// Number of backend servers examined for steps that can't start yet.
+    examined: usize,
 }
 
 impl ServerPool {
-    fn candidate(&mut self, ix: ServerIx) -> Option<&mut Candidate> {
+    fn find(&self, ix: ServerIx) -> Option<&Candidate> {
+        let found = self.candidates.binary_search_by_key(&ix, |(ix, _)| *ix);
+        found.ok().map(|at| &self.candidates[at].1)
+    }
+
+    fn find_mut(&mut self, ix: ServerIx) -> Option<&mut Candidate> {
         let found = self.candidates.binary_search_by_key(&ix, |(ix, _)| *ix);
         found.ok().map(|at| &mut self.candidates[at].1)
     }
 
     fn allocate(&mut self, ix: ServerIx, each: Resources) {
-        if let Some(candidate) = self.candidate(ix) {
+        if let Some(candidate) = self.find_mut(ix) {
             candidate.free = candidate.free.minus(each);
         }
     }
@@ -94,13 +114,28 @@
         let mut ranked_steps = self.collect_ranked_steps(cx);
         ranked_steps.sort_by_key(|ranked| (ranked.rank, ranked.step));
         self.waiting_steps = ranked_steps.len() as u32;
-        let pass_time = PASS_TIME_PER_STEP * self.waiting_steps;
-        self.min_place_interval =
-            (pass_time * PASS_CPU_DIVISOR).div_f64(cx.settings.cpu_share.max(MIN_CPU_SHARE));
         let mut pools = self.server_pools(cx);
+        let cpu_share = cx.settings.cpu_share.max(MIN_CPU_SHARE);
+        let max_in_flight = (STARTS_IN_FLIGHT_PER_CORE * cpu_share) as usize;
+        let mut in_flight = self.starts_in_flight();
         for ranked in ranked_steps {
-            self.place_step(&ranked, &mut pools, cx);
+            if in_flight >= max_in_flight {
+                break; // The next pass follows when these are answered.
+            }
+            in_flight += self.place_step(&ranked, &mut pools, cx);
         }
+        let examined: usize = pools.values().map(|pool| pool.examined).sum();
+        let pass_time =
+            PASS_TIME_PER_STEP * self.waiting_steps + TIME_PER_EXAMINED * examined as u32;
+        self.min_place_interval = (pass_time * PASS_CPU_DIVISOR).div_f64(cpu_share);
+    }
+
+    /// Number of runs whose start order was not sent yet or not answered.
+    fn starts_in_flight(&self) -> usize {
+        let runs = self.ledger.runs.values();
+        let unanswered =
+            |placed: &&Placement| matches!(placed.state, RunState::Planned | RunState::Starting);
+        runs.filter(unanswered).count()
     }
 
     /// Creates the step states of occurrences that are due.
@@ -127,6 +162,10 @@
     fn collect_ranked_steps(&mut self, cx: &Cx<'_>) -> Vec<RankedStep> {
         let may_have_unknown_runs = self.may_have_unknown_runs();
         let mut utilizations = HashMap::new();
+        let live = self.fleet.live();
+        let total = live.fold(Resources::ZERO, |sum, ix| {
+            sum.plus(self.fleet.get(ix).listing.capacity)
+        });
         let mut ranked_steps = Vec::new();
         let jobs: Vec<JobIx> = self.ledger.jobs.keys().copied().collect();
         for ix in jobs {
@@ -142,7 +181,7 @@
             }
             let share_utilization = *utilizations
                 .entry(job.team.clone())
-                .or_insert_with(|| self.share_utilization(&job.team, cx));
+                .or_insert_with(|| self.share_utilization(&job.team, &total, cx));
             self.refresh_forecast(ix, cx);
             for step in steps {
                 let rank = self.rank(step, share_utilization, cx);
@@ -179,25 +218,21 @@
 
     /// A team's dominant share of the fleet relative to the share it is entitled
     /// to by weight; 1 means that it uses exactly its entitlement.
-    fn share_utilization(&self, team: &Name, cx: &Cx<'_>) -> f64 {
-        let live = self.fleet.live();
-        let total = live.fold(Resources::ZERO, |sum, ix| {
-            sum.plus(self.fleet.get(ix).listing.capacity)
-        });
+    fn share_utilization(&self, team: &Name, total: &Resources, cx: &Cx<'_>) -> f64 {
         let weights: u32 = cx.config.teams.iter().map(|team| team.weight.max(1)).sum();
         let weight = cx.config.team(team).map_or(1, |team| team.weight.max(1));
         let entitled = f64::from(weight) / f64::from(weights.max(1));
-        let used = self.accounts.used(team).dominant_share(&total);
+        let used = self.accounts.used(team).dominant_share(total);
         used / entitled.max(f64::EPSILON)
     }
 
     fn server_pools(&self, cx: &Cx<'_>) -> ServerPools {
         let timing = &cx.settings.timing;
         let mut pools = ServerPools::new();
+        let with_orphans: HashSet<ServerIx> = self.orphan_runs.keys().map(|(ix, _)| *ix).collect();
         for ix in self.fleet.live() {
             let server = self.fleet.get(ix);
-            let has_orphans = self.orphan_runs.keys().any(|(other, _)| *other == ix);
-            if !has_orphans && server.accepts_work(timing, cx.now()) {
+            if !with_orphans.contains(&ix) && server.accepts_work(timing, cx.now()) {
                 let service = server.listing.service.clone();
                 pools
                     .entry(service)
@@ -224,9 +259,15 @@
         }
     }
 
-    fn place_step(&mut self, ranked: &RankedStep, pools: &mut ServerPools, cx: &mut Cx<'_>) {
+    /// Starts what can start of a step, and returns the number of runs planned.
+    fn place_step(
+        &mut self,
+        ranked: &RankedStep,
+        pools: &mut ServerPools,
+        cx: &mut Cx<'_>,
+    ) -> usize {
         let Some(job) = self.ledger.jobs.get(&ranked.step.job) else {
-            return;
+            return 0;
         };
         let (graph, team) = (job.graph.clone(), job.team.clone());
         let queue = self.queue_settings(job, cx);
@@ -234,31 +275,82 @@
             graph.steps.get(ranked.step.step as usize),
             pools.get_mut(&queue.service),
         ) else {
-            return;
+            return 0;
         };
         if pool.blocked_steps >= MAX_BLOCKED_STEPS {
-            return; // Lower-ranked steps would not find room either.
+            return 0; // Lower-ranked steps would not find room either.
         }
         if let Some(admission) = queue
             .admission
             .filter(|_| self.has_no_decision(ranked.step))
         {
             self.send_first_query(ranked.step, spec, &queue, admission, pool, cx);
-            return; // It is not known yet where the step may run.
+            return 0; // It is not known yet where the step may run.
         }
         let waiting = self.tasks_within_limit(ranked.step, spec, &team, cx);
         if waiting.is_empty() {
-            return;
+            return 0;
         }
-        let eligible = |ix: ServerIx| self.is_eligible(ranked.step, spec, ix, Some(&queue), cx);
-        let plan = self.plan_step(ranked.step, spec, &waiting, pool, eligible);
+        let candidates = match queue.admission {
+            Some(_) => self.permitted_candidates(ranked.step, spec, pool, cx),
+            None => self.possible_candidates(ranked.step, spec, pool),
+        };
+        let plan = self.plan_step(ranked.step, spec, &waiting, &candidates);
         let complete = plan.len() == waiting.len();
-        if !spec.gang || complete {
+        let planned = match !spec.gang || complete {
+            true => plan.len(),
+            false => 0,
+        };
+        if planned > 0 {
             self.start_plan(ranked.step, spec, &plan, pool, cx);
         }
-        if !complete {
+        if !complete && pool.examined < MAX_EXAMINED {
             self.handle_blocked(ranked, spec, &queue, &waiting, pool, cx);
         }
+        planned
+    }
+
+    /// Backend servers with room for a task of a step for which they have a valid
+    /// ticket.
+    fn permitted_candidates(
+        &self,
+        step: StepRef,
+        spec: &Step,
+        pool: &ServerPool,
+        cx: &Cx<'_>,
+    ) -> Vec<(ServerIx, Candidate)> {
+        let Some(state) = self.ledger.step(step) else {
+            return Vec::new();
+        };
+        // The start order is sent once the run is recorded.
+        let sent_by = cx.now() + self.commits.expected_latency();
+        let tickets = state.admission.tickets.iter();
+        let usable = tickets.filter(|(_, (_, until))| sent_by < *until);
+        let mut servers: Vec<ServerIx> = usable.filter_map(|(id, _)| self.fleet.find(id)).collect();
+        servers.sort_unstable();
+        let each = spec.committed();
+        let candidate = |ix: ServerIx| {
+            let candidate = *pool.find(ix)?;
+            let eligible = each.fits(&candidate.free) && self.is_eligible(step, spec, ix);
+            eligible.then_some((ix, candidate))
+        };
+        servers.into_iter().filter_map(candidate).collect()
+    }
+
+    /// Backend servers with room for a task of a step that the external policy has
+    /// not denied.
+    fn possible_candidates(
+        &self,
+        step: StepRef,
+        spec: &Step,
+        pool: &ServerPool,
+    ) -> Vec<(ServerIx, Candidate)> {
+        let each = spec.committed();
+        let candidates = pool.candidates.iter();
+        let eligible = candidates.filter(|(ix, candidate)| {
+            each.fits(&candidate.free) && self.is_eligible(step, spec, *ix)
+        });
+        eligible.copied().collect()
     }
 
     /// Queries the external policy about a step for which it has made no decision
@@ -269,20 +361,74 @@
         spec: &Step,
         queue: &QueueSettings,
         admission: AdmissionPolicy,
-        pool: &ServerPool,
+        pool: &mut ServerPool,
         cx: &mut Cx<'_>,
     ) {
-        if !self.can_query(step, queue.priority, cx) {
+        if pool.examined >= MAX_EXAMINED || !self.can_query(step, queue.priority, cx) {
             return;
         }
+        let needed = self.ledger.step(step).map_or(0, |s| s.waiting().count());
+        pool.examined += pool.candidates.len();
+        let servers = self.servers_to_name(step, spec, needed, pool);
+        self.query_policy(step, queue.priority, admission, &servers, cx);
+    }
+
+    /// Backend servers to name in a query to the external policy about a step with
+    /// `needed` tasks to start.
+    fn servers_to_name(
+        &self,
+        step: StepRef,
+        spec: &Step,
+        needed: usize,
+        pool: &ServerPool,
+    ) -> Vec<ServerIx> {
         let each = spec.committed();
+        let spread = spec.spread.unwrap_or(u32::MAX);
+        let Some(job) = self.ledger.jobs.get(&step.job) else {
+            return Vec::new();
+        };
+        let state = self.ledger.step(step);
+        let rack = match spec.gang && spec.one_rack {
+            true => self.rack_with_most_room(&each, pool),
+            false => spec.data_rack.clone(),
+        };
+        let prospect = |(ix, candidate): &(ServerIx, Candidate)| {
+            let listing = &self.fleet.get(*ix).listing;
+            let is_near = |rack: &Name| *rack == listing.rack;
+            Prospect {
+                server: *ix,
+                room: tasks_that_fit(&each, &candidate.free)
+                    .min(spread.saturating_sub(self.step_runs_on(*ix, step))),
+                capacity: tasks_that_fit(&each, &candidate.capacity).min(spread),
+                allowed: state.is_some_and(|s| s.admission.allowed.contains(&listing.id)),
+                near: rack.as_ref().is_none_or(is_near),
+            }
+        };
         let capable = pool.candidates.iter();
-        let capable = capable.filter(|(_, candidate)| each.fits(&candidate.capacity));
-        let servers = capable.map(|(ix, _)| *ix);
-        let servers: Vec<ServerIx> = servers
-            .filter(|ix| self.is_eligible(step, spec, *ix, None, cx))
-            .collect();
-        self.query_policy(step, queue.priority, admission, &servers, cx);
+        let capable = capable.filter(|(ix, candidate)| {
+            each.fits(&candidate.capacity) && self.is_eligible(step, spec, *ix)
+        });
+        let prospects: Vec<Prospect> = capable.map(prospect).collect();
+        let salt = u64::from(crc32fast::hash(job.id.as_bytes())) << 32 | u64::from(step.step);
+        let grant_rate = self.policy_dispatcher.grant_rate(&job.queue);
+        shortlist(
+            prospects,
+            needed as u32,
+            grant_rate,
+            salt,
+            MAX_SERVERS_PER_QUERY,
+        )
+    }
+
+    /// Rack with room for the most tasks that need `each`.
+    fn rack_with_most_room(&self, each: &Resources, pool: &ServerPool) -> Option<Name> {
+        let mut rooms: BTreeMap<&Name, u64> = BTreeMap::new();
+        for (ix, candidate) in &pool.candidates {
+            let rack = &self.fleet.get(*ix).listing.rack;
+            *rooms.entry(rack).or_default() += u64::from(tasks_that_fit(each, &candidate.free));
+        }
+        let most = rooms.into_iter().max_by_key(|(_, room)| *room);
+        most.map(|(rack, _)| rack.clone())
     }
 
     fn start_plan(
@@ -329,19 +475,12 @@
     ) {
         let step = ranked.step;
         let remaining = self.still_waiting(step, waiting);
-        let eligible = |ix: ServerIx| self.is_eligible(step, spec, ix, None, cx);
-        let plan = self.plan_step(step, spec, &remaining, pool, eligible);
+        pool.examined += pool.candidates.len();
+        let candidates = self.possible_candidates(step, spec, pool);
+        let plan = self.plan_step(step, spec, &remaining, &candidates);
         let should_query = !plan.is_empty() && self.can_query(step, queue.priority, cx);
         if let Some(admission) = queue.admission.filter(|_| should_query) {
-            let each = spec.committed();
-            let with_room = pool
-                .candidates
-                .iter()
-                .filter(|(_, candidate)| each.fits(&candidate.free));
-            let servers = with_room.map(|(ix, _)| *ix);
-            let servers: Vec<ServerIx> = servers
-                .filter(|ix| self.is_eligible(step, spec, *ix, None, cx))
-                .collect();
+            let servers = self.servers_to_name(step, spec, remaining.len(), pool);
             self.query_policy(step, queue.priority, admission, &servers, cx);
         }
         pool.blocked_steps += usize::from(plan.is_empty());
@@ -349,24 +488,17 @@
             pool.allocate(*server, spec.committed());
         }
         if spec.gang && plan.is_empty() {
-            self.reserve_for_gang(step, spec, waiting.len(), pool, cx);
+            self.reserve_for_gang(step, spec, waiting.len(), pool);
         }
     }
 
     /// Withholds the backend servers with the most free resources from
     /// lower-ranked steps, until a gang of `count` tasks would fit on them.
-    fn reserve_for_gang(
-        &self,
-        step: StepRef,
-        spec: &Step,
-        count: usize,
-        pool: &mut ServerPool,
-        cx: &Cx<'_>,
-    ) {
+    fn reserve_for_gang(&self, step: StepRef, spec: &Step, count: usize, pool: &mut ServerPool) {
         let max_reserved = pool.candidates.len() / RESERVED_DIVISOR;
         let each = spec.committed();
         let capable = pool.candidates.iter().filter(|(ix, candidate)| {
-            each.fits(&candidate.capacity) && self.is_eligible(step, spec, *ix, None, cx)
+            each.fits(&candidate.capacity) && self.is_eligible(step, spec, *ix)
         });
         let mut capable: Vec<(ServerIx, Candidate)> = capable.copied().collect();
         capable.sort_by_key(|(ix, candidate)| {
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -13,7 +13,7 @@
 use crate::fleet::ServerIx;
 use crate::ledger::StepRef;
 use crate::owner::{Cx, Owner};
-use crate::place::{Plan, QueueSettings, ServerPool};
+use crate::place::Plan;
 
 /// Time after a team's last urgent job during which part of its limit is reserved
 /// for urgent work.
@@ -21,61 +21,35 @@
 
 impl Owner {
     /// True if a backend server may run a step: it has the required label and the
-    /// external policy has not denied it. If the settings of a queue that uses
-    /// admission are given, it must also have a valid ticket.
-    pub(crate) fn is_eligible(
-        &self,
-        step: StepRef,
-        spec: &Step,
-        ix: ServerIx,
-        queue: Option<&QueueSettings>,
-        cx: &Cx<'_>,
-    ) -> bool {
+    /// external policy has not denied it.
+    pub(crate) fn is_eligible(&self, step: StepRef, spec: &Step, ix: ServerIx) -> bool {
         let listing = &self.fleet.get(ix).listing;
         let has_label = spec
             .label
             .as_ref()
             .is_none_or(|l| listing.labels.contains(l));
-        let Some(state) = self.ledger.step(step).filter(|_| has_label) else {
-            return false;
-        };
-        let needs_ticket = queue.is_some_and(|queue| queue.admission.is_some());
-        match needs_ticket {
-            true => {
-                let ticket = state.admission.tickets.get(&listing.id);
-                ticket.is_some_and(|(_, until)| cx.now() < *until)
-            }
-            false => !state.admission.denied.contains(&listing.id),
-        }
+        let state = self.ledger.step(step).filter(|_| has_label);
+        state.is_some_and(|state| !state.admission.denied.contains(&listing.id))
     }
 
-    /// Assigns as many of the tasks as possible; for a gang, all or none.
-    pub(crate) fn plan_step<F>(
+    /// Assigns as many of the tasks as possible to the candidates; for a gang, all
+    /// or none.
+    pub(crate) fn plan_step(
         &self,
         step: StepRef,
         spec: &Step,
         waiting: &[TaskIndex],
-        pool: &ServerPool,
-        is_eligible: F,
-    ) -> Plan
-    where
-        F: Fn(ServerIx) -> bool,
-    {
-        let each = spec.committed();
-        let with_room = pool
-            .candidates
-            .iter()
-            .filter(|(_, candidate)| each.fits(&candidate.free));
-        let eligible = with_room.filter(|(ix, _)| is_eligible(*ix));
-        let candidates: Vec<(ServerIx, Candidate, u32)> = eligible
-            .map(|(ix, candidate)| {
-                (
-                    *ix,
-                    self.with_distance(spec, *ix, *candidate),
-                    self.step_runs_on(*ix, step),
-                )
-            })
-            .collect();
+        candidates: &[(ServerIx, Candidate)],
+    ) -> Plan {
+        if candidates.is_empty() {
+            return Plan::new();
+        }
+        let with_step = |(ix, candidate): &(ServerIx, Candidate)| {
+            let candidate = self.with_distance(spec, *ix, *candidate);
+            (*ix, candidate, self.step_runs_on(*ix, step))
+        };
+        let candidates: Vec<(ServerIx, Candidate, u32)> =
+            candidates.iter().map(with_step).collect();
         if spec.gang && spec.one_rack {
             let plan = self.assign_in_one_rack(step, spec, waiting, &candidates);
             if plan.len() == waiting.len() {
