Fewer calls to the platform and to backend servers; ends acknowledged by partition

Each heartbeat of the owner was a call of every VM. A partition that fails stopped the acknowledgement of all ends, so every server was looked at again and again (platform_down for a third of the partitions).

Change: group commits of a partition keep 15 ms apart; changes that nothing waits for ride along or follow after 60 ms. An end waits only for the partition of its job. Store loss is logged by partition.

--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -21,7 +21,7 @@
 /// Time limit for establishing a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Maximum idle time after which a connection is still reused.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
+const MAX_IDLE_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of idle connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 8;
 /// Maximum size of a response body.
--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -28,6 +28,9 @@
 const MAX_EXPIRED_PER_COMMIT: usize = 16;
 /// Delay before a failed group commit is retried.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Minimum interval between two group commits in one partition, so that one
+/// carries the changes of several jobs.
+const MIN_COMMIT_INTERVAL: Duration = Duration::from_millis(15);
 /// Weight of the newest sample in the moving average of the commit latency.
 const LATENCY_EWMA_WEIGHT: f64 = 0.1;
 /// Factor by which the mean latency grows after a timeout. Without it the
@@ -75,6 +78,9 @@
     dirty: VecDeque<(JobIx, Change)>,
     in_flight: Option<GroupCommit>,
     next_commit_at: Duration,
+    /// When the queued changes have to be sent at the latest; `None` if there are
+    /// none.
+    due_at: Option<Duration>,
     /// Ended jobs, with the time at which their state row is deleted.
     expiring: VecDeque<(Duration, JobId)>,
 }
@@ -90,8 +96,8 @@
 
     fn is_due(&self, now: Duration) -> bool {
         let expired = self.expiring.front().is_some_and(|(at, _)| *at <= now);
-        let wanted = !self.dirty.is_empty() || expired;
-        wanted && self.in_flight.is_none() && now >= self.next_commit_at
+        let changed = self.due_at.is_some_and(|at| now >= at);
+        (changed || expired) && self.in_flight.is_none() && now >= self.next_commit_at
     }
 }
 
@@ -121,14 +127,22 @@
         }
     }
 
-    /// Notes a change to the state of a job. `queue` is true if the job was not
-    /// already queued to be written.
-    pub(crate) fn record_change(&mut self, job: JobIx, partition: PartitionId, queue: bool) {
+    /// Notes a change to the state of a job, which is to be sent at `due_at` or
+    /// with an earlier group commit. `queue` is true if the job was not already
+    /// queued to be written.
+    pub(crate) fn record_change(
+        &mut self,
+        job: JobIx,
+        partition: PartitionId,
+        queue: bool,
+        due_at: Duration,
+    ) {
         self.last_change += 1;
+        let commits = self.partitions.entry(partition).or_default();
         if queue {
-            let commits = self.partitions.entry(partition).or_default();
             commits.dirty.push_back((job, self.last_change));
         }
+        commits.due_at = Some(commits.due_at.map_or(due_at, |at| at.min(due_at)));
     }
 
     /// The last change so far.
@@ -136,8 +150,15 @@
         self.last_change
     }
 
+    /// True when all changes to the jobs of a partition up to `change` are written.
+    pub(crate) fn is_written(&self, partition: PartitionId, change: Change) -> bool {
+        let commits = self.partitions.get(&partition);
+        let oldest = commits.and_then(PartitionCommits::oldest_unwritten);
+        oldest.is_none_or(|oldest| change < oldest)
+    }
+
     /// The last change up to which all changes are written.
-    pub(crate) fn written_change(&self) -> Change {
+    fn written_change(&self) -> Change {
         let partitions = self.partitions.values();
         let oldest = partitions.filter_map(PartitionCommits::oldest_unwritten);
         oldest.min().map_or(self.last_change, |change| change - 1)
@@ -243,6 +264,10 @@
             writes: Vec::new(),
         };
         let jobs = self.add_job_writes(partition, &mut transaction);
+        if let Some(commits) = self.commits.partitions.get_mut(&partition) {
+            // Changes that did not fit are due at once.
+            commits.due_at = (!commits.dirty.is_empty()).then_some(cx.now());
+        }
         let expired = self.add_expired_deletes(partition, &mut transaction, cx.now());
         if transaction.writes.is_empty() {
             return; // All entries of the queue were void.
@@ -251,6 +276,7 @@
         let call = cx.next_call_id();
         let timeout = self.commits.commit_timeout();
         if let Some(commits) = self.commits.partitions.get_mut(&partition) {
+            commits.next_commit_at = cx.now() + MIN_COMMIT_INTERVAL;
             commits.in_flight = Some(GroupCommit {
                 call,
                 sent_at: cx.now(),
@@ -376,7 +402,7 @@
                 if *error == StoreError::Unknown {
                     self.commits.record_timeout();
                 }
-                self.update_store_availability(Some(error), cx);
+                self.update_store_availability(partition, Some(error), cx);
                 self.requeue_writes(partition, commit, cx.now() + WRITE_RETRY_DELAY);
             }
         }
@@ -392,7 +418,7 @@
     ) {
         // This does not confirm the term: a later owner may have claimed already
         // and not yet replaced the fence row of this partition.
-        self.update_store_availability(None, cx);
+        self.update_store_availability(partition, None, cx);
         self.commits.applied += 1;
         self.place_due = true;
         let latency = cx.now().saturating_sub(commit.sent_at);
@@ -441,6 +467,7 @@
             return;
         };
         commits.next_commit_at = at;
+        commits.due_at = Some(at);
         for write in commit.jobs.iter().rev() {
             if let Some(job) = self.ledger.jobs.get_mut(&write.job) {
                 job.dirty = true;
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -45,7 +45,7 @@
         });
         self.update_health(server, run, finished.outcome, cx);
         self.save_checkpoint(task, &finished.checkpoint);
-        self.mark_dirty(task.step.job);
+        self.mark_dirty_lazily(task.step.job, cx.now());
         match finished.outcome {
             RunOutcome::Completed => {
                 let ran = placed.map(|placed| (placed.server, ran));
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -13,6 +13,7 @@
 use crate::commit::Change;
 use crate::event::{CallId, Listing};
 use crate::ledger::RunRef;
+use crate::partition::PartitionId;
 use crate::settings::Timing;
 
 /// Number of incarnations of one id that fencing tokens can distinguish within
@@ -48,6 +49,17 @@
     pub(crate) sent_at: Duration,
 }
 
+/// An end that was handled, but whose effects may not be committed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UnacknowledgedEnd {
+    /// Number of the end on its backend server.
+    pub(crate) number: u64,
+    /// Partition of the job of the run; that of the cell if the job is unknown.
+    pub(crate) partition: PartitionId,
+    /// Last change to the job that the end made.
+    pub(crate) change: Change,
+}
+
 /// One incarnation of a backend server.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -79,9 +91,8 @@
     /// Number of the last ended run that may be acknowledged, since the effects of
     /// its end are committed.
     pub(crate) acknowledged_end: u64,
-    /// Handled ends that may not be acknowledged yet, each with the last change to
-    /// a job that has to be written before.
-    pub(crate) unacknowledged: VecDeque<(u64, Change)>,
+    /// Handled ends that may not be acknowledged yet, in ascending order.
+    pub(crate) unacknowledged: VecDeque<UnacknowledgedEnd>,
     /// Resources committed to `runs`.
     pub(crate) used: Resources,
     /// Runs placed here that may exist.
@@ -178,6 +189,7 @@
         self.state == ServerState::Held
             && self.listed
             && !self.listing.draining
+            && !self.unresponsive
             && now < self.last_answer_at + timing.server_timeout
             && now >= self.unhealthy_until
             && self
@@ -218,13 +230,18 @@
         ix
     }
 
-    /// Allows the ends to be acknowledged whose effects are among the changes up to
-    /// `written`, which are committed.
-    pub(crate) fn acknowledge(&mut self, written: Change) {
+    /// Allows the ends to be acknowledged whose effects `is_written` says are
+    /// committed.
+    pub(crate) fn acknowledge<F>(&mut self, is_written: F)
+    where
+        F: Fn(PartitionId, Change) -> bool,
+    {
         for server in &mut self.servers {
-            let committed = |(_, change): &mut (u64, Change)| *change <= written;
-            while let Some((number, _)) = server.unacknowledged.pop_front_if(committed) {
-                server.acknowledged_end = number;
+            while let Some(end) = server
+                .unacknowledged
+                .pop_front_if(|end| is_written(end.partition, end.change))
+            {
+                server.acknowledged_end = end.number;
             }
         }
     }
--- a/crates/sched/src/heartbeat.rs
+++ b/crates/sched/src/heartbeat.rs
@@ -5,7 +5,7 @@
 //! heartbeats confirm the term, since writes to other partitions may be applied
 //! after a later owner has claimed.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use compact_str::format_compact;
@@ -15,7 +15,7 @@
 use crate::event::{CallId, Effect, StoreError, StoreResponse};
 use crate::notice::Notice;
 use crate::owner::{Cx, Owner};
-use crate::partition::CELL_PARTITION;
+use crate::partition::{CELL_PARTITION, PartitionId};
 use crate::rows::{self, Heartbeat};
 
 /// Number of consecutive failed heartbeats after which an owner asks for a
@@ -31,7 +31,8 @@
     next_at: Duration,
     /// Heartbeats that failed since the last one that was applied.
     failed: u32,
-    store_failing: bool,
+    /// Partitions whose last write failed.
+    failing_partitions: BTreeSet<PartitionId>,
 }
 
 /// The condition that this VM is the owner, for writes to the cell's partition.
@@ -97,13 +98,13 @@
                 cx.term.observe_store_clock(*clock, cx.now());
                 self.heartbeats.failed = 0;
                 self.place_due = true;
-                self.update_store_availability(None, cx);
+                self.update_store_availability(CELL_PARTITION, None, cx);
             }
             Err(StoreError::Conflict(rows)) => self.verify_ownership(rows, cx),
             Ok(StoreResponse::Rows { .. }) => {}
             Err(error) => {
                 self.heartbeats.failed += 1;
-                self.update_store_availability(Some(error), cx);
+                self.update_store_availability(CELL_PARTITION, Some(error), cx);
                 self.maybe_request_successor(cx);
             }
         }
@@ -128,21 +129,21 @@
         }
     }
 
-    /// Logs when the table service becomes unavailable or available again.
+    /// Logs when a partition of the table service becomes unavailable to this owner
+    /// or available again.
     pub(crate) fn update_store_availability(
         &mut self,
+        partition: PartitionId,
         error: Option<&StoreError>,
         cx: &mut Cx<'_>,
     ) {
-        let fault = error.map(|error| format_compact!("{error}"));
-        match (self.heartbeats.store_failing, fault) {
-            (false, Some(fault)) => {
-                self.heartbeats.store_failing = true;
-                cx.log(Notice::StoreLost { fault });
+        match error {
+            Some(error) if self.heartbeats.failing_partitions.insert(partition) => {
+                let fault = format_compact!("{error}");
+                cx.log(Notice::StoreLost { partition, fault });
             }
-            (true, None) => {
-                self.heartbeats.store_failing = false;
-                cx.log(Notice::StoreBack);
+            None if self.heartbeats.failing_partitions.remove(&partition) => {
+                cx.log(Notice::StoreBack { partition });
             }
             _ => {}
         }
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -14,10 +14,11 @@
 use crate::event::{
     CallId, Finished, Listing, Order, OrderError, OrderResponse, Progress, Rejection, RunLists,
 };
-use crate::fleet::{RenewalCall, ServerIx, ServerState};
+use crate::fleet::{RenewalCall, ServerIx, ServerState, UnacknowledgedEnd};
 use crate::ledger::{RunRef, RunState};
 use crate::notice::{Notice, ms};
 use crate::owner::{Cx, Owner, SentOrder};
+use crate::partition::CELL_PARTITION;
 
 /// Maximum number of ended runs in one list. A list of that length may be
 /// incomplete.
@@ -43,7 +44,9 @@
             return;
         }
         let now = cx.now();
-        self.fleet.acknowledge(self.commits.written_change());
+        let commits = &self.commits;
+        self.fleet
+            .acknowledge(|partition, change| commits.is_written(partition, change));
         let due: Vec<ServerIx> = self
             .fleet
             .live()
@@ -234,9 +237,14 @@
         if finished.number > server.processed_end {
             server.processed_end = finished.number;
             self.handle_run_end(ix, finished, cx);
-            let change = self.commits.last_change();
-            let server = self.fleet.get_mut(ix);
-            server.unacknowledged.push_back((finished.number, change));
+            let job = self.ledger.find(&finished.run.task.job);
+            let job = job.and_then(|ix| self.ledger.jobs.get(&ix));
+            let end = UnacknowledgedEnd {
+                number: finished.number,
+                partition: job.map_or(CELL_PARTITION, |job| job.partition),
+                change: self.commits.last_change(),
+            };
+            self.fleet.get_mut(ix).unacknowledged.push_back(end);
         }
     }
 
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -26,6 +26,10 @@
 const SUSPENSION_GAP: Duration = Duration::from_millis(1_500);
 /// Delay before retrying a failed read of the cell table.
 pub(crate) const CELL_RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Delay before the cell table is followed again after it has changed. The owner
+/// writes a heartbeat several times as often; each would otherwise be a call of
+/// every VM. A failed owner is noticed by its helpers' offers in the meantime.
+const CELL_FOLLOW_GAP: Duration = Duration::from_millis(500);
 /// Delay before the next offer after one that failed.
 const OFFER_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Maximum age of the last confirmation of the configuration for which the node
@@ -327,7 +331,11 @@
             Ok(feed) => {
                 self.apply_cell_rows(&feed.rows);
                 self.cell_version = Some(feed.version);
-                self.next_cell_read_at = Some(self.time.now);
+                let gap = match feed.rows.is_empty() {
+                    true => Duration::ZERO,
+                    false => CELL_FOLLOW_GAP,
+                };
+                self.next_cell_read_at = Some(self.time.now + gap);
                 self.maybe_claim();
             }
             Err(StoreError::HistoryLost) => {
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::event::{OrderError, Rejection};
+use crate::partition::PartitionId;
 
 /// A log event. Durations are in ms.
 #[expect(missing_docs, reason = "docs/EVENTS.md describes the fields")]
@@ -27,10 +28,10 @@
     ConfigStale { version: u64, age_ms: u64 },
     /// The configuration was confirmed to be the newest again.
     ConfigFresh { version: u64 },
-    /// Writes of the owner to the table service fail.
-    StoreLost { fault: Name },
-    /// Writes of the owner to the table service succeed again.
-    StoreBack,
+    /// Writes of the owner to a partition of the table service fail.
+    StoreLost { partition: PartitionId, fault: Name },
+    /// Writes of the owner to a partition of the table service succeed again.
+    StoreBack { partition: PartitionId },
     /// A job was accepted.
     Accepted {
         job: Name,
@@ -233,7 +234,7 @@
             Self::ConfigStale { .. } => 311,
             Self::ConfigFresh { .. } => 312,
             Self::StoreLost { .. } => 320,
-            Self::StoreBack => 321,
+            Self::StoreBack { .. } => 321,
             Self::Accepted { .. } => 330,
             Self::Refused { .. } => 331,
             Self::OutcomeUnknown { .. } => 332,
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -202,7 +202,7 @@
                 since_ms: ms(cx.now().saturating_sub(entry.first_seen_at)),
             };
             cx.log(notice);
-            self.mark_dirty(job);
+            self.mark_dirty_lazily(job, cx.now());
         }
     }
 
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -338,11 +338,23 @@
         bucket.try_acquire(f64::from(weight), cx.now())
     }
 
-    /// Schedules a job's state row for writing.
+    /// Schedules a job's state row for writing as soon as possible.
     pub(crate) fn mark_dirty(&mut self, job: JobIx) {
+        self.mark_dirty_until(job, Duration::ZERO);
+    }
+
+    /// Schedules a job's state row for writing with the next group commit of its
+    /// partition, which follows after `LAZY_WRITE_DELAY` at the latest. For changes
+    /// that neither a start nor a caller waits for.
+    pub(crate) fn mark_dirty_lazily(&mut self, job: JobIx, now: Duration) {
+        self.mark_dirty_until(job, now + LAZY_WRITE_DELAY);
+    }
+
+    fn mark_dirty_until(&mut self, job: JobIx, due_at: Duration) {
         if let Some(entry) = self.ledger.jobs.get_mut(&job) {
             let queue = !std::mem::replace(&mut entry.dirty, true);
-            self.commits.record_change(job, entry.partition, queue);
+            let partition = entry.partition;
+            self.commits.record_change(job, partition, queue, due_at);
         }
     }
 
@@ -403,6 +415,9 @@
 const MIN_TERM_BEFORE_YIELD: Duration = Duration::from_secs(3);
 /// Ratio of CPU shares that justifies the cost of a takeover.
 const YIELD_CPU_RATIO: f64 = 2.0;
+/// Longest delay of a write that nothing waits for; short enough that backend
+/// servers' ends are acknowledged within a fraction of a second.
+const LAZY_WRITE_DELAY: Duration = Duration::from_millis(60);
 /// Interval of the checks that depend on elapsed time only.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum interval between placement passes, so that a burst of events does not
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -26,6 +26,8 @@
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Long-poll time for changes of the job table.
 const FOLLOW_WAIT: Duration = Duration::from_millis(5_000);
+/// Delay between two such calls, so that one returns several submissions.
+const FOLLOW_GAP: Duration = Duration::from_millis(12);
 
 /// Delay before the cell table is read again after a malformed layout row, which
 /// only an operator can repair.
@@ -506,7 +508,7 @@
                     self.apply_job_row(row, false, cx);
                 }
                 self.recovery.followed_version = self.recovery.followed_version.max(feed.version);
-                self.recovery.follow_at = Some(cx.now());
+                self.recovery.follow_at = Some(cx.now() + FOLLOW_GAP);
             }
             Err(StoreError::HistoryLost) => self.rescan_jobs(cx),
             Err(_) => self.recovery.follow_at = Some(cx.now() + READ_RETRY_DELAY),
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -53,7 +53,8 @@
     pub renewal_gap: Duration,
     /// Delay before retrying a lease renewal that was not answered.
     pub renewal_retry: Duration,
-    /// Time without a response after which a backend server gets no new work.
+    /// Time without a response after which a backend server gets no new work;
+    /// longer than `renewal_wait` plus the latency of a response.
     pub server_timeout: Duration,
     /// Age of the last confirmation of the configuration above which API keys
     /// are no longer trusted.
@@ -90,10 +91,10 @@
             lease: ms(5_000),
             max_lease: ms(10_000),
             draining_lease: ms(1_500),
-            renewal_wait: ms(1_000),
+            renewal_wait: ms(1_800),
             renewal_gap: ms(20),
             renewal_retry: ms(250),
-            server_timeout: ms(2_000),
+            server_timeout: ms(3_000),
             max_config_age: ms(4_000),
             early_start: ms(0),
             store_timeout: ms(1_200),
--- a/crates/sched/tests/events.rs
+++ b/crates/sched/tests/events.rs
@@ -36,8 +36,11 @@
 #[test]
 fn catalogue_marks_warnings() {
     let samples = [
-        sched::Notice::StoreBack,
-        sched::Notice::StoreLost { fault: "f".into() },
+        sched::Notice::StoreBack { partition: 1 },
+        sched::Notice::StoreLost {
+            partition: 1,
+            fault: "f".into(),
+        },
         sched::Notice::Woke { gap_ms: 1 },
         sched::Notice::ConfigFresh { version: 1 },
     ];
