Refuse submissions to a partition of the table service that fails

Change: two failures in a row make a VM refuse submissions to that partition before anything is written, so 'not run' is certain; a read each 0.4 s finds out whether it is served again. Writes without an answer are repeated after 80 ms.

--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -4,7 +4,7 @@
 //! confirmed the write of its rows, and as refused only when the rows are
 //! certain never to be written.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,11 +27,19 @@
 const CONFIG_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Maximum number of retries of a write that the table service did not execute.
 const MAX_RETRIES: u32 = 2;
-/// Delay before the first such retry; grows linearly with each further one.
+/// Delay before the first such retry, which grows linearly with each further one,
+/// and before a write without an answer is sent again.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(80);
 /// Maximum age of a request for which an unanswered write is sent again.
 /// Clients wait about 3 s, and a write takes up to `Timing::store_timeout`.
 const RESEND_WINDOW: Duration = Duration::from_millis(1_400);
+/// Number of consecutive failures of a partition after which submissions to it are
+/// refused at once: a write without an answer would leave the caller without a
+/// definite one. A single answer may be lost while the table service works.
+const MAX_FAILURES: u32 = 2;
+/// Interval at which a partition that fails is probed by a read, which can be
+/// repeated without harm.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum age of the owner's pending-job counts for which they are still
 /// returned to clients.
 const MAX_PENDING_AGE: Duration = Duration::from_secs(4);
@@ -122,11 +130,23 @@
     partition: PartitionId,
 }
 
+/// Failures of a partition since its last answer.
+#[derive(Debug, Default)]
+struct Failures {
+    count: u32,
+    /// When the partition is probed next.
+    next_probe_at: Duration,
+}
+
 /// Client requests in progress.
 #[derive(Debug, Default)]
 pub(crate) struct Intake {
     pending: HashMap<CallId, PendingCall>,
     retries: Vec<(Duration, PendingCall)>,
+    /// Partitions of the table service whose last calls failed.
+    failures: BTreeMap<PartitionId, Failures>,
+    /// Reads in flight that find out whether a partition is served again.
+    probes: HashMap<CallId, PartitionId>,
 }
 
 /// Context that the intake uses to handle an event.
@@ -247,6 +267,10 @@
                 let refusal = Refusal::permanent(Reason::BadRequest);
                 cx.refuse(caller, &id, &queue.name, refusal);
             }
+            RequestKind::Submit(_) if self.is_failing(layout.partition_of(&id)) => {
+                let refusal = Refusal::temporary(Reason::StoreDown, STORE_RETRY_AFTER);
+                cx.refuse(caller, &id, &queue.name, refusal);
+            }
             RequestKind::Submit(graph) => {
                 let submission = Submission {
                     queue: queue.name.clone(),
@@ -286,6 +310,50 @@
         }
     }
 
+    /// True while submissions to a partition are refused.
+    fn is_failing(&self, partition: PartitionId) -> bool {
+        let failures = self.failures.get(&partition);
+        failures.is_some_and(|failures| failures.count >= MAX_FAILURES)
+    }
+
+    /// Sends the probes of failing partitions that are due.
+    fn probe_failing(&mut self, cx: &mut Cx<'_>) {
+        for (&partition, failures) in &mut self.failures {
+            if failures.count < MAX_FAILURES || cx.now < failures.next_probe_at {
+                continue;
+            }
+            failures.next_probe_at = cx.now + PROBE_INTERVAL;
+            let call = cx.next_call_id();
+            self.probes.insert(call, partition);
+            cx.out.push(Effect::Scan {
+                call,
+                partition,
+                table: Table::State,
+                from: Name::default(),
+                limit: 1,
+            });
+        }
+    }
+
+    /// Notes whether a call to a partition was answered.
+    fn record_answer(
+        &mut self,
+        partition: PartitionId,
+        result: &Result<StoreResponse, StoreError>,
+        now: Duration,
+    ) {
+        match result {
+            Ok(_) | Err(StoreError::Conflict(_) | StoreError::HistoryLost) => {
+                self.failures.remove(&partition);
+            }
+            Err(StoreError::Unavailable | StoreError::Unknown) => {
+                let failures = self.failures.entry(partition).or_default();
+                failures.count += 1;
+                failures.next_probe_at = now + PROBE_INTERVAL;
+            }
+        }
+    }
+
     fn send_accept(&mut self, pending: PendingCall, cx: &mut Cx<'_>) {
         let Purpose::Accept { submission, .. } = &pending.purpose else {
             return;
@@ -337,9 +405,14 @@
         result: &Result<StoreResponse, StoreError>,
         cx: &mut Cx<'_>,
     ) -> bool {
+        if let Some(partition) = self.probes.remove(&call) {
+            self.record_answer(partition, result, cx.now);
+            return true;
+        }
         let Some(pending) = self.pending.remove(&call) else {
             return false;
         };
+        self.record_answer(pending.partition, result, cx.now);
         match pending.purpose {
             Purpose::Accept { .. } => self.accept_answered(pending, result, cx),
             Purpose::ReadState => self.state_read(&pending, result, cx),
@@ -377,7 +450,9 @@
                 if let Purpose::Accept { maybe_applied, .. } = &mut pending.purpose {
                     *maybe_applied = true;
                 }
-                self.send_accept(pending, cx);
+                // A reset connection fails at once, so sending again at once would
+                // repeat the write as fast as the network allows.
+                self.retries.push((cx.now + WRITE_RETRY_DELAY, pending));
             }
             Ok(StoreResponse::Rows { .. }) | Err(StoreError::Unknown | StoreError::HistoryLost) => {
                 reply_unknown(&pending, cx);
@@ -456,8 +531,9 @@
         }
     }
 
-    /// Retries the writes that are due.
+    /// Retries the writes that are due, and probes failing partitions.
     pub(crate) fn tick(&mut self, cx: &mut Cx<'_>) {
+        self.probe_failing(cx);
         let is_due = |(at, _): &mut (Duration, PendingCall)| *at <= cx.now;
         let due_calls: Vec<PendingCall> = self
             .retries
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -3,13 +3,15 @@
 
 use std::time::Duration;
 
-use model::{Cell, Graph, Name, Resources, Row, Step, key};
+use model::{Cell, Graph, Name, Resources, Row, Step, Transaction, key};
 use sched::{
     AdmissionPolicy, ApiRequest, CallId, ChangeFeed, Config, Effect, Event, Listing, Node, Notice,
-    Offer, OfferResponse, Order, OrderResponse, PolicyDecision, Queue, RequestKind, RunLists,
-    Service, Settings, StoreError, StoreResponse, Table, Team, Time, Timing,
+    Offer, OfferResponse, Order, OrderResponse, PolicyDecision, Queue, Reply, RequestKind,
+    RunLists, Service, Settings, StoreError, StoreResponse, Table, Team, Time, Timing,
 };
 
+/// Time after which a write counts as lost whose connection was reset.
+const LOST_WRITE_TIME: Duration = Duration::from_millis(5);
 /// Interval between ticks.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -108,6 +110,18 @@
     store_latency: Duration,
     /// Number of applied writes of job states by the owner.
     states_written: u32,
+    /// Whether writes of submissions get no answer.
+    submissions_lost: bool,
+    /// Number of writes of submissions that were sent.
+    submissions_sent: u32,
+    /// Replies to callers.
+    replies: Vec<Reply>,
+}
+
+/// True for the write with which a job is accepted.
+fn is_submission(transaction: &Transaction) -> bool {
+    let mut writes = transaction.writes.iter();
+    writes.any(|write| write.key.starts_with("job/") && write.value.is_some())
 }
 
 impl Harness {
@@ -141,6 +155,9 @@
             store_down: false,
             store_latency: Duration::ZERO,
             states_written: 0,
+            submissions_lost: false,
+            submissions_sent: 0,
+            replies: Vec::new(),
         };
         harness.cell_rows = cell_rows;
         let config = Box::new(config());
@@ -215,6 +232,15 @@
                 let result = Err(StoreError::Unknown);
                 self.deliver(Event::StoreAnswered { call, result });
             }
+            Effect::Commit {
+                call, transaction, ..
+            } if self.submissions_lost && is_submission(&transaction) => {
+                self.submissions_sent += 1;
+                self.now += LOST_WRITE_TIME;
+                let result = Err(StoreError::Unknown);
+                self.deliver(Event::StoreAnswered { call, result });
+            }
+            Effect::Reply { reply, .. } => self.replies.push(reply),
             Effect::Commit {
                 call, transaction, ..
             } => {
@@ -426,3 +452,48 @@
     assert!(suspecting.has_claimed());
     assert!(!waiting.has_claimed());
 }
+
+/// Pattern: a part of the table service is down and resets connections. Each write
+/// then leaves its caller without a definite answer, after which the caller can't
+/// safely repeat it elsewhere. Once that is known, further submissions are refused
+/// before anything is written.
+#[test]
+fn submissions_to_a_failing_partition_are_refused_before_they_are_sent() {
+    let mut harness = Harness::owning(0.25);
+    harness.submissions_lost = true;
+    harness.submit("0000000000000001");
+    harness.advance(Duration::from_millis(300));
+    let sent_before = harness.submissions_sent;
+    harness.replies.clear();
+
+    harness.submit("0000000000000001");
+
+    assert!(
+        sent_before >= 2,
+        "the outcome of a write is asked for again"
+    );
+    assert_eq!(
+        harness.submissions_sent, sent_before,
+        "nothing more was sent"
+    );
+    let refused =
+        matches!(harness.replies.as_slice(), [Reply::Refused(r)] if r.retry_after.is_some());
+    assert!(refused, "{:?}", harness.replies);
+}
+
+/// The refusals end as soon as a probe is answered, without a submission that is
+/// tried at the risk of its caller.
+#[test]
+fn submissions_are_accepted_again_after_an_answer() {
+    let mut harness = Harness::owning(0.25);
+    harness.submissions_lost = true;
+    harness.submit("0000000000000001");
+    harness.advance(Duration::from_millis(300));
+    harness.submissions_lost = false;
+    harness.advance(Duration::from_millis(500));
+    harness.replies.clear();
+
+    harness.submit("0000000000000001");
+
+    assert_eq!(harness.replies, [Reply::Accepted]);
+}
--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -81,7 +81,7 @@
         LeavingServers, LostServers, StopOwner, StoreDown, StoreForgets, StoreLost,
         StoreShutsOwnerOut,
     };
-    let cases: [(u64, &[Fault]); 17] = [
+    let cases: [(u64, &[Fault]); 18] = [
         // A new owner did not count runs of a job that was cancelled during the
         // takeover.
         (1, &[FreezeOwner]),
@@ -123,6 +123,9 @@
         // A run that the owner had found on a server, not ordered itself, was not
         // recorded for the next owner.
         (352, &[StoreDown, StopOwner, CutDataCentre]),
+        // Without fence rows, a late write of a superseded owner to a partition that
+        // its successor had already read.
+        (70358, &[StoreShutsOwnerOut, CutDataCentre, CrashServers]),
     ];
 
     for (seed, faults) in cases {
