--- a/crates/policy/src/shortlist.rs
+++ b/crates/policy/src/shortlist.rs
@@ -3,7 +3,9 @@
 //! A policy takes longer the more servers a query names, and queries compete for
 //! the VMs that send them. A query therefore names as many servers as are likely
 //! to yield enough permitted room, those with the most room first. Steps of equal
-//! need name different servers, so that a large fleet is used evenly.
+//! need name different servers, so that a large fleet is used evenly. For tasks that
+//! are packed, the fullest servers with room are named first instead: only what the
+//! query names can be chosen, and whole servers have to stay free for large tasks.
 //!
 //! Invariant: the result depends only on the arguments. A server with room is
 //! named before any without, so a step never waits for servers that are full while
@@ -28,6 +30,15 @@
 /// Grant rate assumed before the first decision.
 const INITIAL_GRANT_RATE: f64 = 0.5;
 
+/// Which of the servers with room a query names first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Preference {
+    /// Those with the most room, for tasks that slow each other down.
+    Emptiest,
+    /// Those with the least room, for accelerated tasks.
+    Fullest,
+}
+
 /// A backend server that a query may name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Prospect {
@@ -80,18 +91,23 @@
 pub fn shortlist(
     mut prospects: Vec<Prospect>,
     needed: u32,
+    preference: Preference,
     grant_rate: GrantRate,
     salt: u64,
     limit: usize,
 ) -> Vec<u32> {
     prospects.sort_by_cached_key(|prospect| {
-        let room = (prospect.room, prospect.capacity);
+        let room = match preference {
+            Preference::Emptiest => u32::MAX - prospect.room,
+            Preference::Fullest => prospect.room,
+        };
         let order = mix(salt ^ u64::from(prospect.server));
         (
             Reverse(prospect.room > 0),
             Reverse(prospect.allowed),
             Reverse(prospect.near),
-            Reverse(room),
+            room,
+            Reverse(prospect.capacity),
             order,
         )
     });
--- a/crates/policy/tests/shortlist.rs
+++ b/crates/policy/tests/shortlist.rs
@@ -2,11 +2,23 @@
 
 use std::collections::HashMap;
 
-use policy::shortlist::{GrantRate, Prospect, shortlist};
+use policy::shortlist::{GrantRate, Preference, Prospect};
 
 /// Maximum number of servers in a query.
 const LIMIT: usize = 100;
 
+/// Chooses servers for a step whose tasks are spread.
+fn shortlist(
+    prospects: Vec<Prospect>,
+    needed: u32,
+    grant_rate: GrantRate,
+    salt: u64,
+    limit: usize,
+) -> Vec<u32> {
+    let preference = Preference::Emptiest;
+    policy::shortlist::shortlist(prospects, needed, preference, grant_rate, salt, limit)
+}
+
 fn idle_server(server: u32) -> Prospect {
     Prospect {
         server,
@@ -124,3 +136,22 @@
     );
     assert!(more.len() <= LIMIT);
 }
+
+/// Pattern: small accelerated tasks beside tasks that need a whole server. If each
+/// query named empty servers, small tasks would soon run on all of them.
+#[test]
+fn packed_tasks_leave_empty_servers_alone() {
+    let mut fleet = idle_fleet(150);
+    for prospect in &mut fleet[..60] {
+        prospect.room = 1;
+    }
+    for prospect in &mut fleet[60..80] {
+        prospect.room = 0;
+    }
+    let (needed, rate) = (6, GrantRate::default());
+
+    let chosen = policy::shortlist::shortlist(fleet, needed, Preference::Fullest, rate, 1, LIMIT);
+
+    assert!(chosen.len() >= 12, "{chosen:?}");
+    assert!(chosen.iter().all(|server| *server < 60), "{chosen:?}");
+}
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -13,7 +13,7 @@
 use model::{Attempt, Name, Resources, Step, StepIndex, TaskIndex};
 use policy::fit::Candidate;
 use policy::rank::{Rank, WaitingStep};
-use policy::shortlist::{Prospect, shortlist};
+use policy::shortlist::{Preference, Prospect, shortlist};
 
 use crate::advice::MAX_SERVERS_PER_QUERY;
 use crate::config::AdmissionPolicy;
@@ -411,9 +411,14 @@
         let prospects: Vec<Prospect> = capable.map(prospect).collect();
         let salt = u64::from(crc32fast::hash(job.id.as_bytes())) << 32 | u64::from(step.step);
         let grant_rate = self.policy_dispatcher.grant_rate(&job.queue);
+        let preference = match each.accelerators {
+            0 => Preference::Emptiest,
+            _ => Preference::Fullest,
+        };
         shortlist(
             prospects,
             needed as u32,
+            preference,
             grant_rate,
             salt,
             MAX_SERVERS_PER_QUERY,
