--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -562,8 +562,9 @@
 }
 
 /// Distance between the lowest run numbers that consecutive epochs assign to a
-/// task, so that the runs of a later owner have higher numbers.
-pub(crate) const RUN_NUMBERS_PER_EPOCH: Attempt = 1_000;
+/// task, so that the runs of a later owner have higher numbers. A task that fails
+/// or is rejected ten times a second uses a day to get there.
+pub(crate) const RUN_NUMBERS_PER_EPOCH: Attempt = 1_000_000;
 
 /// Returns the value of a row, or `None` if the row was deleted.
 pub(crate) fn live_value(row: &Row) -> Option<&Bytes> {
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -17,8 +17,8 @@
 use crate::settings::Timing;
 
 /// Number of incarnations of one id that fencing tokens can distinguish within
-/// an epoch.
-const INCARNATIONS_PER_EPOCH: u64 = 1_024;
+/// an epoch: more than a backend server that restarts each second has in a week.
+const INCARNATIONS_PER_EPOCH: u64 = 1 << 20;
 /// Weight of the newest sample in the moving average of a backend server's
 /// slowness.
 const SLOWNESS_EWMA_WEIGHT: f64 = 0.25;
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -3,11 +3,11 @@
 
 use std::time::Duration;
 
-use model::{Cell, Graph, Name, Resources, Row, Step, Transaction, key};
+use model::{Attempt, Cell, Epoch, Graph, Name, Resources, Row, Step, Transaction, key};
 use sched::{
     AdmissionPolicy, ApiRequest, CallId, ChangeFeed, Config, Effect, Event, Listing, Node, Notice,
-    Offer, OfferResponse, Order, OrderResponse, PolicyDecision, Queue, Reply, RequestKind,
-    RunLists, Service, Settings, StoreError, StoreResponse, Table, Team, Time, Timing,
+    Offer, OfferResponse, Order, OrderResponse, PolicyDecision, Queue, Rejection, Reply,
+    RequestKind, RunLists, Service, Settings, StoreError, StoreResponse, Table, Team, Time, Timing,
 };
 
 /// Time after which a write counts as lost whose connection was reset.
@@ -116,6 +116,10 @@
     submissions_sent: u32,
     /// Replies to callers.
     replies: Vec<Reply>,
+    /// Run numbers of the start orders, which the backend server rejects.
+    starts: Vec<Attempt>,
+    /// Fencing tokens of the lease renewals.
+    renewal_tokens: Vec<Epoch>,
 }
 
 /// True for the write with which a job is accepted.
@@ -158,6 +162,8 @@
             submissions_lost: false,
             submissions_sent: 0,
             replies: Vec::new(),
+            starts: Vec::new(),
+            renewal_tokens: Vec::new(),
         };
         harness.cell_rows = cell_rows;
         let config = Box::new(config());
@@ -288,10 +294,20 @@
                 _ => self.cell_follow_call = Some(call),
             },
             Effect::WatchServers(true) => self.deliver(Event::ServersListed(vec![listing()])),
-            Effect::Order { call, order, .. } if matches!(*order, Order::RenewLease { .. }) => {
+            Effect::Order { call, order, .. } if matches!(*order, Order::Start { .. }) => {
+                if let Order::Start { run, .. } = *order {
+                    self.starts.push(run.number);
+                }
+                let result = Ok(OrderResponse::Rejected(Rejection::NoRoom));
+                self.deliver(Event::OrderAnswered { call, result });
+            }
+            Effect::Order {
+                call, order, token, ..
+            } if matches!(*order, Order::RenewLease { .. }) => {
+                self.renewal_tokens.push(token);
                 let lists = RunLists {
                     clock: self.now.as_millis() as u64,
-                    incarnation: Some(1),
+                    incarnation: None,
                     ..RunLists::default()
                 };
                 self.now += TICK;
@@ -497,3 +513,49 @@
 
     assert_eq!(harness.replies, [Reply::Accepted]);
 }
+
+/// Starts a job's only task, which the backend server rejects each time, until
+/// `count` start orders were sent.
+fn reject_starts(harness: &mut Harness, count: usize) {
+    harness.submit("0000000000000001");
+    while harness.starts.len() < count {
+        harness.advance(TICK);
+        harness.answer_policy(vec![("server".into(), "ticket".into())]);
+    }
+}
+
+/// A backend server that has seen a run number accepts only higher ones for that
+/// task. However often an owner starts a task, its successor's numbers are higher.
+#[test]
+fn run_numbers_of_a_successor_are_higher_after_many_starts() {
+    let mut first = Harness::owning(0.25);
+    reject_starts(&mut first, 1_100);
+    let mut second = Harness::new("follower", 0.25, first.cell_rows.clone());
+    second.advance(Duration::from_secs(4));
+    assert!(second.node.is_owner());
+
+    reject_starts(&mut second, 1);
+
+    assert!(second.starts.first() > first.starts.iter().max());
+}
+
+/// An order for one incarnation of a backend server must be rejected by every later
+/// one, also by the thousandth within a term.
+#[test]
+fn fencing_tokens_grow_with_each_of_many_incarnations() {
+    let mut harness = Harness::owning(0.25);
+
+    for incarnation in 2..1_200 {
+        let listing = Listing {
+            incarnation,
+            ..listing()
+        };
+        harness.deliver(Event::ServerListed(listing));
+        harness.advance(TICK * 5);
+    }
+
+    let mut tokens = harness.renewal_tokens.clone();
+    tokens.dedup();
+    assert!(tokens.is_sorted(), "tokens never decrease");
+    assert_eq!(tokens.len(), 1_199, "each incarnation has its own token");
+}
