Limit the HTTP client's idle connections over all addresses

VMs have 4,100 to 8,192 descriptors and 160 to 512 MB.

Change: at most 1,024 idle connections in all; when full, those that are idle for over a second are closed.

--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -24,6 +24,13 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of idle connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 8;
+/// Default for the maximum number of idle connections kept in all. An owner calls
+/// thousands of addresses, some rarely; each connection takes a descriptor and about
+/// 30 kB of memory.
+const MAX_IDLE: usize = 1_024;
+/// Idle time from which connections are closed when there are too many. Connections
+/// that are used all the time are idle for milliseconds.
+const MAX_IDLE_TIME_WHEN_FULL: Duration = Duration::from_secs(1);
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -39,15 +46,55 @@
 }
 
 type Sender = SendRequest<Full<Bytes>>;
-type IdleConnections = HashMap<Name, Vec<(Sender, Instant)>>;
+
+/// Idle connections by address, with the time since which each is idle.
+#[derive(Debug, Default)]
+struct IdleConnections {
+    by_address: HashMap<Name, Vec<(Sender, Instant)>>,
+    count: usize,
+}
+
+impl IdleConnections {
+    /// Closes connections that are closed by the peer or idle for longer than
+    /// `max_age`.
+    fn prune(&mut self, max_age: Duration) {
+        self.by_address.retain(|_, connections| {
+            connections.retain(|(sender, since)| since.elapsed() <= max_age && !sender.is_closed());
+            !connections.is_empty()
+        });
+        self.count = self.by_address.values().map(Vec::len).sum();
+    }
+}
 
 /// HTTP/1 client with a small pool of idle connections per address.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Client {
     idle: Arc<Mutex<IdleConnections>>,
+    max_idle: usize,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::with_max_idle(MAX_IDLE)
+    }
 }
 
 impl Client {
+    /// Creates a client that keeps at most `max_idle` idle connections.
+    #[must_use]
+    pub fn with_max_idle(max_idle: usize) -> Self {
+        Self {
+            idle: Arc::default(),
+            max_idle,
+        }
+    }
+
+    /// Number of idle connections, including those that the peer has closed.
+    #[must_use]
+    pub fn idle_connections(&self) -> usize {
+        self.idle.lock().map_or(0, |idle| idle.count)
+    }
+
     /// Sends one request and reads the complete response within `limit`.
     ///
     /// # Errors
@@ -70,7 +117,8 @@
     /// opens a new one.
     pub fn close_idle(&self, address: &Name) {
         if let Ok(mut idle) = self.idle.lock() {
-            idle.remove(address);
+            let closed = idle.by_address.remove(address).map_or(0, |c| c.len());
+            idle.count -= closed;
         }
     }
 
@@ -119,24 +167,27 @@
 
     fn take_idle(&self, address: &Name) -> Option<Sender> {
         let mut idle = self.idle.lock().ok()?;
-        let connections = idle.get_mut(address)?;
-        while let Some((sender, since)) = connections.pop() {
+        loop {
+            let (sender, since) = idle.by_address.get_mut(address)?.pop()?;
+            idle.count -= 1;
             if since.elapsed() <= MAX_IDLE_TIME && sender.is_ready() {
                 return Some(sender);
             }
         }
-        None
     }
 
     fn keep_idle(&self, address: &Name, sender: Sender) {
         let Ok(mut idle) = self.idle.lock() else {
             return;
         };
-        let connections = idle.entry(address.clone()).or_default();
-        connections
-            .retain(|(sender, since)| since.elapsed() <= MAX_IDLE_TIME && !sender.is_closed());
-        if connections.len() < MAX_IDLE_PER_ADDRESS {
+        if idle.count >= self.max_idle {
+            idle.prune(MAX_IDLE_TIME_WHEN_FULL);
+        }
+        let full = idle.count >= self.max_idle;
+        let connections = idle.by_address.entry(address.clone()).or_default();
+        if !full && connections.len() < MAX_IDLE_PER_ADDRESS {
             connections.push((sender, Instant::now()));
+            idle.count += 1;
         }
     }
 }
