A start without an answer is repeated without waiting for a held renewal

Cause: a task whose start order got no answer may start again once a stop is acknowledged and a later list doesn't show the run. The renewal in flight had been sent before, and the backend server holds it until a run ends, for up to 1.8 s; only the one after it counted.

Change: the acknowledgement of such a stop makes a renewal due that asks for the lists at once; the held one is not waited for. An unanswered stop is repeated 0.1 s after its time-out instead of 0.5 s.

Test: a_lost_start_is_repeated_without_waiting_for_a_held_renewal, red before.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -86,6 +86,8 @@
     pub(crate) unresponsive: bool,
     pub(crate) renewal: Option<RenewalCall>,
     pub(crate) next_renewal_at: Duration,
+    /// The next renewal asks for the lists at once instead of when a run ends.
+    pub(crate) lists_wanted: bool,
     /// Number of the last ended run that was handled.
     pub(crate) processed_end: u64,
     /// Number of the last ended run that may be acknowledged, since the effects of
@@ -122,6 +124,7 @@
             unresponsive: false,
             renewal: None,
             next_renewal_at: Duration::ZERO,
+            lists_wanted: false,
             processed_end: 0,
             acknowledged_end: 0,
             unacknowledged: VecDeque::new(),
@@ -139,6 +142,15 @@
         epoch * INCARNATIONS_PER_EPOCH + self.prior_incarnations.min(INCARNATIONS_PER_EPOCH - 1)
     }
 
+    /// Makes a renewal due that asks for the lists at once. A renewal in flight may be
+    /// held by the backend server until a run ends, so its response is not waited for
+    /// and will be ignored.
+    pub(crate) fn request_lists(&mut self, now: Duration) {
+        self.lists_wanted = true;
+        self.renewal = None;
+        self.next_renewal_at = now;
+    }
+
     /// Resources that are not committed to any run.
     pub(crate) fn free(&self) -> Resources {
         self.listing.capacity.minus(self.used)
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -71,7 +71,7 @@
         // A server whose ends are not acknowledged answers at once, so a slow table
         // service must not make this VM call all of them all the time.
         let slow = self.commits.expected_latency() * 2;
-        let pause = match acknowledged {
+        let pause = match acknowledged || server.lists_wanted {
             true => Duration::ZERO,
             false => slow.clamp(UNACKNOWLEDGED_PAUSE.0, UNACKNOWLEDGED_PAUSE.1),
         };
@@ -97,6 +97,7 @@
             server.record_lease(lease_end, timing);
         }
         let max_wait = match server.state {
+            _ if std::mem::take(&mut server.lists_wanted) => Duration::ZERO,
             ServerState::Held if server.processed_end != server.acknowledged_end => Duration::ZERO,
             ServerState::Held if server.unresponsive => Duration::ZERO,
             ServerState::Held if server.listing.draining => DRAINING_WAIT,
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -16,7 +16,7 @@
 use crate::owner::{Cx, Owner, SentOrder};
 
 /// Delay before an unanswered stop order is sent again.
-const STOP_RETRY_DELAY: Duration = Duration::from_millis(500);
+const STOP_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time without new work for a backend server that reported itself unhealthy or
 /// could not be reached.
 const UNHEALTHY_BACKOFF: Duration = Duration::from_millis(1_500);
@@ -337,8 +337,12 @@
         match result {
             Ok(OrderResponse::Done(clock)) => {
                 placed.stop_acknowledged_at = Some(cx.now());
+                let unconfirmed = !placed.confirmed;
                 let entry = self.fleet.get_mut(server);
                 entry.observe_clock(clock, cx.now());
+                if unconfirmed {
+                    entry.request_lists(cx.now());
+                }
             }
             Ok(OrderResponse::Rejected(Rejection::Superseded)) => cx.term.become_follower(),
             Ok(OrderResponse::Rejected(Rejection::OtherIncarnation)) => {
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -6,8 +6,9 @@
 use model::{Attempt, Cell, Epoch, Graph, Name, Resources, Row, Step, Transaction, key};
 use sched::{
     AdmissionPolicy, ApiRequest, CallId, ChangeFeed, Config, Effect, Event, Listing, Node, Notice,
-    Offer, OfferResponse, Order, OrderResponse, PolicyDecision, Queue, Rejection, Reply,
-    RequestKind, RunLists, Service, Settings, StoreError, StoreResponse, Table, Team, Time, Timing,
+    Offer, OfferResponse, Order, OrderError, OrderResponse, PolicyDecision, Queue, Rejection,
+    Reply, RequestKind, RunLists, Service, Settings, StoreError, StoreResponse, Table, Team, Time,
+    Timing,
 };
 
 /// Time after which a write counts as lost whose connection was reset.
@@ -116,8 +117,12 @@
     submissions_sent: u32,
     /// Replies to callers.
     replies: Vec<Reply>,
-    /// Run numbers of the start orders, which the backend server rejects.
+    /// Run numbers of the start orders.
     starts: Vec<Attempt>,
+    /// Whether start orders get no response, instead of a rejection.
+    starts_lost: bool,
+    /// Whether the backend server holds lease renewals that allow it.
+    holds_renewals: bool,
     /// Fencing tokens of the lease renewals.
     renewal_tokens: Vec<Epoch>,
 }
@@ -163,6 +168,8 @@
             submissions_sent: 0,
             replies: Vec::new(),
             starts: Vec::new(),
+            starts_lost: false,
+            holds_renewals: false,
             renewal_tokens: Vec::new(),
         };
         harness.cell_rows = cell_rows;
@@ -298,9 +305,21 @@
                 if let Order::Start { run, .. } = *order {
                     self.starts.push(run.number);
                 }
-                let result = Ok(OrderResponse::Rejected(Rejection::NoRoom));
+                let result = match self.starts_lost {
+                    true => Err(OrderError::Lost),
+                    false => Ok(OrderResponse::Rejected(Rejection::NoRoom)),
+                };
+                self.deliver(Event::OrderAnswered { call, result });
+            }
+            Effect::Order { call, order, .. } if matches!(*order, Order::Stop { .. }) => {
+                let clock = self.now.as_millis() as u64;
+                let result = Ok(OrderResponse::Done(clock));
                 self.deliver(Event::OrderAnswered { call, result });
             }
+            Effect::Order { order, .. }
+                if self.holds_renewals
+                    && matches!(*order, Order::RenewLease { max_wait, .. } if !max_wait.is_zero()) =>
+                {}
             Effect::Order {
                 call, order, token, ..
             } if matches!(*order, Order::RenewLease { .. }) => {
@@ -559,3 +578,21 @@
     assert!(tokens.is_sorted(), "tokens never decrease");
     assert_eq!(tokens.len(), 1_199, "each incarnation has its own token");
 }
+
+/// Pattern: backend servers leave orders unanswered. A task whose start was lost may
+/// start again once its stop is acknowledged and a later list does not show it. The
+/// list must not wait for the renewal that the backend server holds until a run ends.
+#[test]
+fn a_lost_start_is_repeated_without_waiting_for_a_held_renewal() {
+    let mut harness = Harness::owning(0.25);
+    harness.holds_renewals = true;
+    harness.advance(Duration::from_millis(100));
+    harness.starts_lost = true;
+    harness.submit("0000000000000001");
+    harness.advance(Duration::from_millis(100));
+
+    harness.answer_policy(vec![("server".into(), "ticket".into())]);
+    harness.advance(Duration::from_millis(300));
+
+    assert!(harness.starts.len() > 1, "starts: {:?}", harness.starts);
+}
