--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -3,12 +3,12 @@
 
 use std::time::Duration;
 
-use model::{Attempt, Cell, Epoch, Graph, Name, Resources, Row, Step, Transaction, key};
+use model::{Attempt, Cell, Epoch, Graph, JobId, Name, Resources, Row, Step, Transaction, key};
 use sched::{
-    AdmissionPolicy, ApiRequest, CallId, ChangeFeed, Config, Effect, Event, Listing, Node, Notice,
-    Offer, OfferResponse, Order, OrderError, OrderResponse, PolicyDecision, Queue, Rejection,
-    Reply, RequestKind, RunLists, Service, Settings, StoreError, StoreResponse, Table, Team, Time,
-    Timing,
+    AdmissionPolicy, ApiRequest, CallId, ChangeFeed, Config, Effect, Event, Layout, Listing, Node,
+    Notice, Offer, OfferResponse, Order, OrderError, OrderResponse, PartitionId, PolicyDecision,
+    Queue, Rejection, Reply, RequestKind, RunLists, Service, Settings, StoreError, StoreResponse,
+    Table, Team, Time, Timing,
 };
 
 /// Time after which a write counts as lost whose connection was reset.
@@ -95,7 +95,7 @@
     now: Duration,
     version: u64,
     /// Queries to the external admission policy, with their job.
-    policy_calls: Vec<(CallId, model::JobId)>,
+    policy_calls: Vec<(CallId, JobId)>,
     notices: Vec<Notice>,
     /// Rows of the job table not yet reported to the owner.
     accepted: Vec<Row>,
@@ -105,6 +105,10 @@
     cell_follow_call: Option<CallId>,
     /// Current rows of the cell table.
     cell_rows: Vec<Row>,
+    /// Rows of jobs that a build without job partitions wrote.
+    undivided_rows: Vec<Row>,
+    /// Transactions that were applied, with their partitions.
+    commits: Vec<(PartitionId, Transaction)>,
     /// Whether the table service rejects all writes as unavailable.
     store_down: bool,
     /// Latency of a write; writes with a shorter timeout have an unknown outcome.
@@ -161,6 +165,8 @@
             job_follow_call: None,
             cell_follow_call: None,
             cell_rows: Vec::new(),
+            undivided_rows: Vec::new(),
+            commits: Vec::new(),
             store_down: false,
             store_latency: Duration::ZERO,
             states_written: 0,
@@ -255,8 +261,12 @@
             }
             Effect::Reply { reply, .. } => self.replies.push(reply),
             Effect::Commit {
-                call, transaction, ..
+                call,
+                partition,
+                transaction,
+                ..
             } => {
+                self.commits.push((partition, transaction.clone()));
                 let has = |table: &str| {
                     let mut writes = transaction.writes.iter();
                     writes.any(|write| write.key.starts_with(table))
@@ -282,9 +292,21 @@
                 });
                 self.deliver(Event::StoreAnswered { call, result });
             }
-            Effect::Scan { call, table, .. } => {
-                let rows = match table {
-                    Table::Cell => self.cell_rows.clone(),
+            Effect::Scan {
+                call,
+                partition,
+                table,
+                ..
+            } => {
+                let of_table = |row: &&Row| row.key.starts_with(table.prefix());
+                let rows = match (table, partition) {
+                    (Table::Cell, _) => self.cell_rows.clone(),
+                    (_, 0) => self
+                        .undivided_rows
+                        .iter()
+                        .filter(of_table)
+                        .cloned()
+                        .collect(),
                     _ => Vec::new(),
                 };
                 let result = Ok(StoreResponse::Rows {
@@ -596,3 +618,81 @@
 
     assert!(harness.starts.len() > 1, "starts: {:?}", harness.starts);
 }
+
+fn row(key: &str, value: &'static [u8]) -> Row {
+    Row {
+        key: key.into(),
+        cell: Cell {
+            version: 1,
+            value: value.into(),
+        },
+    }
+}
+
+/// Rows that a build without job partitions wrote are copied to the partitions of
+/// their jobs, before the layout row tells any VM to look there, and deleted after.
+#[test]
+fn rows_of_a_build_without_partitions_are_copied_before_the_layout_exists() {
+    let ids = ["0000000000000001", "0000000000000002", "0000000000000003"];
+    let mut harness = Harness::new("owner", 0.25, Vec::new());
+    for id in ids {
+        let keys = [format!("job/{id}"), format!("state/{id}")];
+        let rows = keys.iter().map(|key| row(key, b"as stored"));
+        harness.undivided_rows.extend(rows);
+    }
+
+    harness.advance(Duration::from_secs(1));
+
+    let layout = Layout::new(settings("owner", 0.25).job_partitions);
+    let position = |wanted: PartitionId, key: &str, deleted: bool| {
+        harness.commits.iter().position(|(partition, transaction)| {
+            let mut writes = transaction.writes.iter();
+            let found = writes.any(|w| w.key == key && w.value.is_none() == deleted);
+            *partition == wanted && found
+        })
+    };
+    let created = position(0, "cell/layout", false).expect("layout row written");
+    for id in ids {
+        for key in [format!("job/{id}"), format!("state/{id}")] {
+            let copied = position(layout.partition_of(&id.into()), &key, false);
+            let deleted = position(0, &key, true);
+            assert!(copied.is_some_and(|at| at < created), "{key} copied");
+            assert!(deleted.is_some_and(|at| at > created), "{key} deleted");
+        }
+    }
+    assert!(harness.node.is_ready());
+}
+
+/// Without the number of partitions no row of a job can be found. A VM must not guess
+/// it, and goes on once the row is repaired.
+#[test]
+fn a_malformed_layout_row_keeps_the_cell_closed_until_it_is_repaired() {
+    let layout = row("cell/layout", b"six");
+    let mut harness = Harness::new("owner", 0.25, vec![layout]);
+    harness.advance(Duration::from_secs(2));
+    let ready_before = harness.node.is_ready();
+    let reported = |notice: &Notice| matches!(notice, Notice::LayoutUnusable { .. });
+    let was_reported = harness.notices.iter().any(reported);
+
+    harness.cell_rows.retain(|row| row.key != "cell/layout");
+    harness.cell_rows.push(row("cell/layout", b"6"));
+    harness.advance(Duration::from_secs(2));
+
+    assert!(!ready_before && was_reported);
+    assert!(harness.node.is_ready());
+}
+
+/// Pattern: a cell that is created by an owner of other settings. The stored number
+/// of partitions counts, not the settings.
+#[test]
+fn a_stored_layout_is_kept_whatever_the_settings_say() {
+    let mut harness = Harness::new("owner", 0.25, vec![row("cell/layout", b"5")]);
+    harness.advance(Duration::from_secs(1));
+
+    let id = JobId::from("0000000000000001");
+    harness.submit(&id);
+
+    let accepted = harness.commits.iter().rfind(|(_, t)| is_submission(t));
+    let partition = accepted.map(|(partition, _)| *partition);
+    assert_eq!(partition, Some(Layout::new(5).partition_of(&id)));
+}
