A start that may reach the next incarnation counts there

Cause: when a backend server restarted, runs without an answer were dropped if the old incarnation had given its lists after the start order was sent. Such a list proves nothing for an order that is still on its way: it could arrive at the new incarnation before that had seen the new token, while the task was started elsewhere.

Change: every run that was never confirmed is carried over to the new incarnation and held there until a stop is acknowledged.

--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -25,8 +25,8 @@
 const MAX_LISTED_ENDS: usize = 500;
 /// Delay before the stop of an orphan run is sent again.
 const ORPHAN_STOP_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Lower and upper bound of the additional delay between renewals while the effects of ended runs are not yet
-/// committed.
+/// Lower and upper bound of the additional delay between renewals while the effects
+/// of ended runs are not yet committed.
 const UNACKNOWLEDGED_PAUSE: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
 /// Delay between renewals of an unresponsive backend server that runs nothing.
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -245,7 +245,11 @@
         let uncertain: Vec<RunRef> = runs
             .filter(|run| {
                 let placed = self.ledger.runs.get(run);
-                placed.is_some_and(|p| p.state != RunState::Planned && p.confirmed_at >= verified)
+                // A list without an unconfirmed run proves nothing: its start order may
+                // still arrive, at the new incarnation.
+                placed.is_some_and(|p| {
+                    p.state != RunState::Planned && (!p.confirmed || p.confirmed_at >= verified)
+                })
             })
             .collect();
         for run in uncertain {
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -125,6 +125,8 @@
     starts: Vec<Attempt>,
     /// Whether start orders get no response, instead of a rejection.
     starts_lost: bool,
+    /// Whether stop orders get no response, instead of an acknowledgement.
+    stops_lost: bool,
     /// Whether the backend server holds lease renewals that allow it.
     holds_renewals: bool,
     /// Fencing tokens of the lease renewals.
@@ -175,6 +177,7 @@
             replies: Vec::new(),
             starts: Vec::new(),
             starts_lost: false,
+            stops_lost: false,
             holds_renewals: false,
             renewal_tokens: Vec::new(),
         };
@@ -335,7 +338,10 @@
             }
             Effect::Order { call, order, .. } if matches!(*order, Order::Stop { .. }) => {
                 let clock = self.now.as_millis() as u64;
-                let result = Ok(OrderResponse::Done(clock));
+                let result = match self.stops_lost {
+                    true => Err(OrderError::Lost),
+                    false => Ok(OrderResponse::Done(clock)),
+                };
                 self.deliver(Event::OrderAnswered { call, result });
             }
             Effect::Order { order, .. }
@@ -696,3 +702,92 @@
     let partition = accepted.map(|(partition, _)| *partition);
     assert_eq!(partition, Some(Layout::new(5).partition_of(&id)));
 }
+
+/// Pattern: a process that was paused acts on a permission that ran out meanwhile.
+/// Another VM may have claimed during the pause, so an owner that resumes sends no
+/// order until a write is confirmed that it sent after the pause.
+#[test]
+fn an_owner_that_resumes_sends_no_order_before_a_write_is_confirmed() {
+    let mut harness = Harness::owning(0.25);
+    harness.store_down = true;
+    harness.now += Duration::from_secs(2);
+    let orders_before = harness.renewal_tokens.len();
+
+    harness.advance(Duration::from_millis(500));
+    let orders_unconfirmed = harness.renewal_tokens.len();
+    harness.store_down = false;
+    harness.advance(Duration::from_millis(500));
+
+    assert_eq!(orders_unconfirmed, orders_before);
+    assert!(harness.renewal_tokens.len() > orders_before);
+}
+
+/// First fields of a heartbeat row.
+#[derive(serde::Deserialize)]
+struct HeartbeatHead {
+    _count: u64,
+    _clock: Duration,
+    recorded: bool,
+}
+
+/// What each applied heartbeat says about the records.
+fn recorded_flags(harness: &Harness) -> Vec<bool> {
+    let writes = harness.commits.iter().flat_map(|(_, t)| &t.writes);
+    let heartbeats = writes.filter(|write| write.key == "cell/beat");
+    let values = heartbeats.filter_map(|write| write.value.as_ref());
+    let head = |bytes| postcard::take_from_bytes::<HeartbeatHead>(bytes);
+    values
+        .map(|bytes| head(bytes).expect("valid heartbeat").0.recorded)
+        .collect()
+}
+
+/// Pattern: a table service that is away for so long that tasks start without a
+/// record. Until the records are written, a successor must not trust them: the
+/// heartbeat has to say so.
+#[test]
+fn heartbeats_say_that_a_start_is_not_recorded_yet() {
+    let mut harness = Harness::owning(0.25);
+    harness.submit("0000000000000001");
+    harness.advance(Duration::from_millis(100));
+    harness.store_down = true;
+    harness.advance(Duration::from_millis(4_200));
+    harness.answer_policy(vec![("server".into(), "ticket".into())]);
+    harness.advance(Duration::from_millis(100));
+    let started = harness.starts.len();
+    let applied_before = recorded_flags(&harness).len();
+
+    harness.store_down = false;
+    harness.advance(Duration::from_secs(3));
+
+    assert!(started > 0, "a task was started without a record");
+    let flags = &recorded_flags(&harness)[applied_before..];
+    assert_eq!(flags.first(), Some(&false), "{flags:?}");
+    assert_eq!(flags.last(), Some(&true), "{flags:?}");
+}
+
+/// Pattern: a backend server restarts while an order to it is on the way. The order
+/// may have reached the new incarnation, so the task must not start again before that
+/// has acknowledged a stop.
+#[test]
+fn a_start_that_may_have_reached_the_next_incarnation_is_not_repeated() {
+    let mut harness = Harness::owning(0.25);
+    harness.starts_lost = true;
+    harness.stops_lost = true;
+    harness.submit("0000000000000001");
+    harness.advance(Duration::from_millis(100));
+    harness.answer_policy(vec![("server".into(), "ticket".into())]);
+    harness.advance(Duration::from_millis(100));
+
+    let listing = Listing {
+        incarnation: 2,
+        ..listing()
+    };
+    harness.deliver(Event::ServerListed(listing));
+    harness.advance(Duration::from_millis(500));
+    let unacknowledged = harness.starts.len();
+    harness.stops_lost = false;
+    harness.advance(Duration::from_millis(500));
+
+    assert_eq!(unacknowledged, 1);
+    assert!(harness.starts.len() > 1, "started again after the stop");
+}
