--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -3,12 +3,15 @@
 
 use std::time::Duration;
 
-use model::{Attempt, Cell, Epoch, Graph, JobId, Name, Resources, Row, Step, Transaction, key};
+use model::{
+    Attempt, Cell, Epoch, Graph, JobId, Name, Resources, Row, RunKey, Step, TaskId, Transaction,
+    key,
+};
 use sched::{
     AdmissionPolicy, ApiRequest, CallId, ChangeFeed, Config, Effect, Event, Layout, Listing, Node,
     Notice, Offer, OfferResponse, Order, OrderError, OrderResponse, PartitionId, PolicyDecision,
-    Queue, Rejection, Reply, RequestKind, RunLists, Service, Settings, StoreError, StoreResponse,
-    Table, Team, Time, Timing,
+    Progress, Queue, Rejection, Reply, RequestKind, RunLists, Service, Settings, StoreError,
+    StoreResponse, Table, Team, Time, Timing,
 };
 
 /// Time after which a write counts as lost whose connection was reset.
@@ -111,6 +114,16 @@
     commits: Vec<(PartitionId, Transaction)>,
     /// Whether the table service rejects all writes as unavailable.
     store_down: bool,
+    /// Whether it rejects writes to the cell's partition.
+    cell_partition_down: bool,
+    /// Whether it rejects writes to the job partitions.
+    job_partitions_down: bool,
+    /// Job partition to which it rejects writes.
+    partition_down: Option<PartitionId>,
+    /// Scans of the job table, by partition.
+    job_scans: Vec<PartitionId>,
+    /// Runs that the backend server lists as running.
+    running: Vec<Progress>,
     /// Latency of a write; writes with a shorter timeout have an unknown outcome.
     store_latency: Duration,
     /// Number of applied writes of job states by the owner.
@@ -170,6 +183,11 @@
             undivided_rows: Vec::new(),
             commits: Vec::new(),
             store_down: false,
+            cell_partition_down: false,
+            job_partitions_down: false,
+            partition_down: None,
+            job_scans: Vec::new(),
+            running: Vec::new(),
             store_latency: Duration::ZERO,
             states_written: 0,
             submissions_lost: false,
@@ -241,7 +259,9 @@
 
     fn handle_effect(&mut self, effect: Effect) {
         match effect {
-            Effect::Commit { call, .. } if self.store_down => {
+            Effect::Commit {
+                call, partition, ..
+            } if self.is_down(partition) => {
                 let result = Err(StoreError::Unavailable);
                 self.deliver(Event::StoreAnswered { call, result });
             }
@@ -301,6 +321,9 @@
                 table,
                 ..
             } => {
+                if table == Table::Job {
+                    self.job_scans.push(partition);
+                }
                 let of_table = |row: &&Row| row.key.starts_with(table.prefix());
                 let rows = match (table, partition) {
                     (Table::Cell, _) => self.cell_rows.clone(),
@@ -355,6 +378,7 @@
                 let lists = RunLists {
                     clock: self.now.as_millis() as u64,
                     incarnation: None,
+                    running: self.running.clone(),
                     ..RunLists::default()
                 };
                 self.now += TICK;
@@ -367,6 +391,16 @@
         }
     }
 
+    fn is_down(&self, partition: PartitionId) -> bool {
+        match partition {
+            0 => self.store_down || self.cell_partition_down,
+            _ => {
+                let down = self.store_down || self.job_partitions_down;
+                down || self.partition_down == Some(partition)
+            }
+        }
+    }
+
     fn store_row(&mut self, row: Row) {
         if row.key.starts_with("job/") {
             self.accepted.push(row);
@@ -791,3 +825,74 @@
     assert_eq!(unacknowledged, 1);
     assert!(harness.starts.len() > 1, "started again after the stop");
 }
+
+/// Pattern: an owner finds a run that an earlier one ordered. A successor that can't
+/// reach that backend server knows of it only by the record.
+#[test]
+fn heartbeats_say_that_a_found_run_is_not_recorded_yet() {
+    let mut harness = Harness::owning(0.25);
+    harness.submit("0000000000000001");
+    harness.advance(Duration::from_millis(100));
+    harness.job_partitions_down = true;
+    let task = TaskId {
+        job: "0000000000000001".into(),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    harness.running.push(Progress {
+        run: RunKey { task, number: 5 },
+        checkpoint: Name::default(),
+        percent: 50,
+        gauge: 0,
+    });
+    harness.advance(Duration::from_secs(1));
+    let flag_before = recorded_flags(&harness).last().copied();
+
+    harness.job_partitions_down = false;
+    harness.advance(Duration::from_secs(1));
+
+    assert_eq!(flag_before, Some(false));
+    assert_eq!(recorded_flags(&harness).last(), Some(&true));
+}
+
+/// A successor may have claimed and not yet replaced the fence row of a job partition,
+/// so a write that is applied there does not show that this owner still is the owner.
+#[test]
+fn a_group_commit_does_not_confirm_the_term() {
+    let mut harness = Harness::owning(0.25);
+    harness.submit("0000000000000001");
+    harness.advance(Duration::from_millis(100));
+    harness.cell_partition_down = true;
+    harness.now += Duration::from_secs(2);
+    let orders_before = harness.renewal_tokens.len();
+    let job_commits = |harness: &Harness| {
+        let commits = harness.commits.iter();
+        commits.filter(|(partition, _)| *partition != 0).count()
+    };
+    let commits_before = job_commits(&harness);
+
+    let cancellation = row("job/0000000000000001/cancel", &[1]);
+    harness.accepted.push(cancellation);
+    harness.advance(Duration::from_millis(500));
+
+    assert!(job_commits(&harness) > commits_before);
+    assert_eq!(harness.renewal_tokens.len(), orders_before);
+}
+
+/// A write of an earlier owner may be applied in a partition until its fence row is
+/// replaced, so the rows of jobs are read only after that.
+#[test]
+fn job_rows_are_read_only_after_all_fence_rows_are_replaced() {
+    let mut harness = Harness::new("owner", 0.25, vec![row("cell/layout", b"3")]);
+    harness.partition_down = Some(2);
+    harness.advance(Duration::from_secs(1));
+    let scans_before = harness.job_scans.clone();
+
+    harness.partition_down = None;
+    harness.advance(Duration::from_secs(1));
+
+    assert_eq!(scans_before, []);
+    harness.job_scans.sort_unstable();
+    assert_eq!(harness.job_scans, [1, 2, 3]);
+}
