Test harness: lists name the incarnation again

Cause: with the tests of many incarnations the simulated backend server stopped naming its incarnation in its lists, which every older test had exercised. Change: it names the incarnation last listed, so the older tests are as strict as before.

--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -122,6 +122,8 @@
     partition_down: Option<PartitionId>,
     /// Scans of the job table, by partition.
     job_scans: Vec<PartitionId>,
+    /// Incarnation of the backend server, which its lists name.
+    incarnation: u64,
     /// Runs that the backend server lists as running.
     running: Vec<Progress>,
     /// Latency of a write; writes with a shorter timeout have an unknown outcome.
@@ -187,6 +189,7 @@
             job_partitions_down: false,
             partition_down: None,
             job_scans: Vec::new(),
+            incarnation: 1,
             running: Vec::new(),
             store_latency: Duration::ZERO,
             states_written: 0,
@@ -209,6 +212,9 @@
     }
 
     fn deliver(&mut self, event: Event) {
+        if let Event::ServerListed(listing) = &event {
+            self.incarnation = listing.incarnation;
+        }
         let time = Time {
             now: self.now,
             unix: self.now,
@@ -377,7 +383,7 @@
                 self.renewal_tokens.push(token);
                 let lists = RunLists {
                     clock: self.now.as_millis() as u64,
-                    incarnation: None,
+                    incarnation: Some(self.incarnation),
                     running: self.running.clone(),
                     ..RunLists::default()
                 };
