Log failed reads of the configuration with the bytes that arrived

A VM that can't read its configuration logged only that the last one is stale (311), 4 s later, and 'store_down' refusals. A table service that is away and a response that does not arrive in full in time looked the same, and the second was not distinguished by the HTTP client either.

ExchangeError::Incomplete says that a response began, and how much of it arrived. The event 313 carries that, the time taken and the number of failures in a row; it is written at 1, 2, 4, ... of them, so an outage writes a few lines. Decisions are the same.

--- a/crates/ctl/src/api.rs
+++ b/crates/ctl/src/api.rs
@@ -114,7 +114,9 @@
             .await;
         let response = response.map_err(|error| match error {
             node::ExchangeError::NotSent => CommandError::Unreachable(self.address.clone()),
-            node::ExchangeError::NoResponse => CommandError::OutcomeUnknown,
+            node::ExchangeError::NoResponse | node::ExchangeError::Incomplete { .. } => {
+                CommandError::OutcomeUnknown
+            }
         })?;
         let value: Value = serde_json::from_slice(response.body()).unwrap_or(Value::Null);
         let message = || value["message"].as_str().unwrap_or_default().to_owned();
--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -9,14 +9,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use model::Name;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Time limit for establishing a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -41,8 +42,15 @@
     #[error("the request was not sent")]
     NotSent,
     /// The request may have been received and executed.
-    #[error("no complete response was received")]
+    #[error("no response was received")]
     NoResponse,
+    /// The request was received, but the response ended or was too slow after
+    /// `received` bytes of its body.
+    #[error("the response is incomplete after {received} bytes")]
+    Incomplete {
+        /// Bytes of the body that had arrived.
+        received: usize,
+    },
 }
 
 type Sender = SendRequest<Full<Bytes>>;
@@ -106,7 +114,10 @@
         limit: Duration,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let outcome = self.try_exchange(address, request, limit).await;
-        if matches!(outcome, Err(ExchangeError::NoResponse)) {
+        if matches!(
+            outcome,
+            Err(ExchangeError::NoResponse | ExchangeError::Incomplete { .. })
+        ) {
             // The cause may affect the idle connections to this address too.
             self.close_idle(address);
         }
@@ -131,21 +142,12 @@
         let deadline = Instant::now() + limit;
         let mut sender = self.acquire(address, limit).await?;
         let remaining = deadline.saturating_duration_since(Instant::now());
-        let exchange = async {
-            let response = sender
-                .send_request(request)
-                .await
-                .map_err(classify_send_error)?;
-            let (parts, body) = response.into_parts();
-            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-            let body = body.map_err(|_| ExchangeError::NoResponse)?.to_bytes();
-            Ok(Response::from_parts(parts, body))
-        };
-        let response = timeout(remaining, exchange)
-            .await
-            .map_err(|_| ExchangeError::NoResponse)??;
+        let response = timeout(remaining, sender.send_request(request)).await;
+        let response = response.map_err(|_| ExchangeError::NoResponse)?;
+        let (parts, body) = response.map_err(classify_send_error)?.into_parts();
+        let body = collect_body(body, deadline).await?;
         self.keep_idle(address, sender);
-        Ok(response)
+        Ok(Response::from_parts(parts, body))
     }
 
     async fn acquire(&self, address: &Name, limit: Duration) -> Result<Sender, ExchangeError> {
@@ -192,6 +194,24 @@
     }
 }
 
+/// Reads a body until its end or `deadline`.
+async fn collect_body(body: Incoming, deadline: Instant) -> Result<Bytes, ExchangeError> {
+    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+    let mut received = BytesMut::new();
+    loop {
+        let frame = timeout_at(deadline, body.frame()).await;
+        match frame {
+            Ok(None) => return Ok(received.freeze()),
+            // Frames other than data are trailers.
+            Ok(Some(Ok(frame))) => received.extend(frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(_))) | Err(_) => {
+                let received = received.len();
+                return Err(ExchangeError::Incomplete { received });
+            }
+        }
+    }
+}
+
 fn classify_send_error(error: hyper::Error) -> ExchangeError {
     match error.is_canceled() {
         true => ExchangeError::NotSent,
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -87,7 +87,7 @@
 fn table_error_from(error: ExchangeError) -> TableError {
     match error {
         ExchangeError::NotSent => TableError::Unavailable,
-        ExchangeError::NoResponse => TableError::Unknown,
+        ExchangeError::NoResponse | ExchangeError::Incomplete { .. } => TableError::Unknown,
     }
 }
 
--- a/crates/node/src/worker_client.rs
+++ b/crates/node/src/worker_client.rs
@@ -37,7 +37,7 @@
         let response = self.0.exchange(&address, request, limit).await;
         let response = response.map_err(|error| match error {
             ExchangeError::NotSent => WorkerError::NotSent,
-            ExchangeError::NoResponse => WorkerError::Lost,
+            ExchangeError::NoResponse | ExchangeError::Incomplete { .. } => WorkerError::Lost,
         })?;
         serde_json::from_slice(response.body()).map_err(|_| WorkerError::Lost)
     }
@@ -62,7 +62,9 @@
         let response = self.client.exchange(&execute.address, request, limit).await;
         match response {
             Err(ExchangeError::NotSent) => Err(ExecuteError::NotRun),
-            Err(ExchangeError::NoResponse) => Err(ExecuteError::Lost),
+            Err(ExchangeError::NoResponse | ExchangeError::Incomplete { .. }) => {
+                Err(ExecuteError::Lost)
+            }
             Ok(response) => parse_run_response(&id, response),
         }
     }
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -410,7 +410,12 @@
     },
     /// The configuration can't be read because the table service does not serve
     /// this VM.
-    ConfigUnreachable,
+    ConfigUnreachable {
+        /// Time from sending the read to its failure.
+        took: Duration,
+        /// Bytes of the response that arrived; `None` if it had not begun.
+        received: Option<usize>,
+    },
     /// Response of the table service to a commit or scan.
     StoreAnswered {
         /// Call that this responds to.
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -55,8 +55,8 @@
     /// newest.
     confirmed_at: Duration,
     stale: bool,
-    /// Whether the table service did not serve the last configuration read.
-    pub(crate) unreachable: bool,
+    /// Number of configuration reads that failed since the last successful one.
+    failures: u32,
 }
 
 impl ActiveConfig {
@@ -74,10 +74,33 @@
 
     /// Records that a read sent at `requested_at` found no newer configuration.
     pub(crate) fn confirm(&mut self, requested_at: Duration) {
-        self.unreachable = false;
+        self.failures = 0;
         self.confirmed_at = self.confirmed_at.max(requested_at);
     }
 
+    /// Records that a read of the configuration failed. Returns a notice for the
+    /// first, second, fourth, and so on, failure in a row.
+    pub(crate) fn record_failure(
+        &mut self,
+        took: Duration,
+        received: Option<usize>,
+    ) -> Option<Notice> {
+        self.failures = self.failures.saturating_add(1);
+        let failures = self.failures;
+        failures
+            .is_power_of_two()
+            .then_some(Notice::ConfigReadFailed {
+                failures,
+                took_ms: ms(took),
+                received,
+            })
+    }
+
+    /// True if the last read of the configuration failed.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Time since the last confirmation.
     pub(crate) fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.confirmed_at)
@@ -228,7 +251,7 @@
                 cx.refuse(caller, id, &queue.name, refusal);
             }
             // Refusing before any write is sent makes the refusal definitive.
-            _ if cx.active_config.unreachable => {
+            _ if cx.active_config.is_unreachable() => {
                 let refusal = Refusal::temporary(Reason::StoreDown, STORE_RETRY_AFTER);
                 cx.refuse(caller, id, &queue.name, refusal);
             }
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -96,7 +96,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let current = self.active_config.age(self.time.now) < MAX_READY_CONFIG_AGE;
-        let reachable = current && !self.active_config.unreachable;
+        let reachable = current && !self.active_config.is_unreachable();
         let informed = self.active_config.config.version > 0 && self.term.layout.is_some();
         self.draining_since.is_none() && informed && reachable
     }
@@ -159,7 +159,11 @@
                 }
             }
             Event::ConfigCurrent { requested_at } => self.active_config.confirm(requested_at),
-            Event::ConfigUnreachable => self.active_config.unreachable = true,
+            Event::ConfigUnreachable { took, received } => {
+                if let Some(notice) = self.active_config.record_failure(took, received) {
+                    self.log(notice);
+                }
+            }
             Event::StoreAnswered { call, result } => self.store_answered(call, &result),
             Event::ChangesReceived { call, result } => self.changes_received(call, &result),
             Event::ServersListed(listings) => {
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -28,6 +28,12 @@
     ConfigStale { version: u64, age_ms: u64 },
     /// The configuration was confirmed to be the newest again.
     ConfigFresh { version: u64 },
+    /// A read of the configuration failed, the last one of `failures` in a row.
+    ConfigReadFailed {
+        failures: u32,
+        took_ms: u64,
+        received: Option<usize>,
+    },
     /// Writes of the owner to a partition of the table service fail.
     StoreLost { partition: PartitionId, fault: Name },
     /// Writes of the owner to a partition of the table service succeed again.
@@ -233,6 +239,7 @@
             Self::ConfigInForce { .. } => 310,
             Self::ConfigStale { .. } => 311,
             Self::ConfigFresh { .. } => 312,
+            Self::ConfigReadFailed { .. } => 313,
             Self::StoreLost { .. } => 320,
             Self::StoreBack { .. } => 321,
             Self::Accepted { .. } => 330,
@@ -276,6 +283,7 @@
         matches!(
             self,
             Self::ConfigStale { .. }
+                | Self::ConfigReadFailed { .. }
                 | Self::StoreLost { .. }
                 | Self::NotOwner { .. }
                 | Self::ServerSilent { .. }
--- a/crates/sched/tests/events.rs
+++ b/crates/sched/tests/events.rs
@@ -43,6 +43,11 @@
         },
         sched::Notice::Woke { gap_ms: 1 },
         sched::Notice::ConfigFresh { version: 1 },
+        sched::Notice::ConfigReadFailed {
+            failures: 1,
+            took_ms: 1,
+            received: None,
+        },
     ];
 
     for notice in samples {
--- a/crates/standin/src/cell/client.rs
+++ b/crates/standin/src/cell/client.rs
@@ -170,7 +170,9 @@
             {
                 Ok(response) => return (Some(response), may_have_run),
                 Err(ExchangeError::NotSent) => {}
-                Err(ExchangeError::NoResponse) => may_have_run = true,
+                Err(ExchangeError::NoResponse | ExchangeError::Incomplete { .. }) => {
+                    may_have_run = true
+                }
             }
         }
         (None, may_have_run)
