Read a body as long as its link delivers it

VMs with a link of 10 Mbit/s had no configuration any more, refused what reached them and answered late or not at all.

Cause: a fixed time limit on a transfer of any size. A read of the store had to end 700 ms after the last moment at which its response could begin; a configuration of 1.18 MB takes 0.95 s on that link. A read that was cut off is followed by a scan with 700 ms for the same megabyte, which can't end in time either, every 0.85 s, and the abandoned responses keep the link full. The state outlives what caused it.

Change: TimeLimit has a limit for the head, one for the pause between two pieces of the body, and one for the whole.

Why it works: a response that arrives steadily is never abandoned, so nothing is transferred twice. A store or link that stands still is noticed as soon as before.

--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -1,4 +1,4 @@
-//! HTTP client with connection reuse and a deadline on every exchange.
+//! HTTP client with connection reuse and time limits on every exchange.
 //!
 //! Invariant: a connection whose exchange failed or timed out is closed and
 //! never reused. A connection idle for longer than `MAX_IDLE_TIME` is not
@@ -53,6 +53,28 @@
     },
 }
 
+/// Time limits of an exchange. A `Duration` bounds it as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimeLimit {
+    /// Time until the head of the response.
+    pub head: Duration,
+    /// Longest pause between two pieces of the body. A body of any size passes as
+    /// long as the link delivers it.
+    pub pause: Duration,
+    /// Time until the end of the response.
+    pub total: Duration,
+}
+
+impl From<Duration> for TimeLimit {
+    fn from(limit: Duration) -> Self {
+        Self {
+            head: limit,
+            pause: limit,
+            total: limit,
+        }
+    }
+}
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Idle connections by address, with the time since which each is idle.
@@ -107,13 +129,16 @@
     ///
     /// # Errors
     /// The error states whether the request may have been received.
-    pub async fn exchange(
+    pub async fn exchange<L>(
         &self,
         address: &Name,
         request: Request<Full<Bytes>>,
-        limit: Duration,
-    ) -> Result<Response<Bytes>, ExchangeError> {
-        let outcome = self.try_exchange(address, request, limit).await;
+        limit: L,
+    ) -> Result<Response<Bytes>, ExchangeError>
+    where
+        L: Into<TimeLimit>,
+    {
+        let outcome = self.try_exchange(address, request, limit.into()).await;
         if matches!(
             outcome,
             Err(ExchangeError::NoResponse | ExchangeError::Incomplete { .. })
@@ -137,15 +162,14 @@
         &self,
         address: &Name,
         request: Request<Full<Bytes>>,
-        limit: Duration,
+        limit: TimeLimit,
     ) -> Result<Response<Bytes>, ExchangeError> {
-        let deadline = Instant::now() + limit;
-        let mut sender = self.acquire(address, limit).await?;
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        let response = timeout(remaining, sender.send_request(request)).await;
+        let started = Instant::now();
+        let mut sender = self.acquire(address, limit.head).await?;
+        let response = timeout_at(started + limit.head, sender.send_request(request)).await;
         let response = response.map_err(|_| ExchangeError::NoResponse)?;
         let (parts, body) = response.map_err(classify_send_error)?.into_parts();
-        let body = collect_body(body, deadline).await?;
+        let body = collect_body(body, limit.pause, started + limit.total).await?;
         self.keep_idle(address, sender);
         Ok(Response::from_parts(parts, body))
     }
@@ -194,12 +218,16 @@
     }
 }
 
-/// Reads a body until its end or `deadline`.
-async fn collect_body(body: Incoming, deadline: Instant) -> Result<Bytes, ExchangeError> {
+/// Reads a body whose pieces arrive at most `pause` apart, until its end or `deadline`.
+async fn collect_body(
+    body: Incoming,
+    pause: Duration,
+    deadline: Instant,
+) -> Result<Bytes, ExchangeError> {
     let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
     let mut received = BytesMut::new();
     loop {
-        let frame = timeout_at(deadline, body.frame()).await;
+        let frame = timeout_at(deadline.min(Instant::now() + pause), body.frame()).await;
         match frame {
             Ok(None) => return Ok(received.freeze()),
             // Frames other than data are trailers.
--- a/crates/node/tests/http_client.rs
+++ b/crates/node/tests/http_client.rs
@@ -6,7 +6,7 @@
 use compact_str::format_compact;
 use http_body_util::Full;
 use hyper::Request;
-use node::Client;
+use node::{Client, ExchangeError, TimeLimit};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -32,6 +32,36 @@
     format_compact!("{address}")
 }
 
+/// Starts a server whose responses arrive in pieces of one byte, `pause` apart. It sends
+/// `sent` of `length` bytes. Returns its address.
+async fn start_slow_server(pause: Duration, sent: usize, length: usize) -> model::Name {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut buffer = [0; 1_024];
+        let _ = stream.read(&mut buffer).await;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+        let _ = stream.write_all(head.as_bytes()).await;
+        for _ in 0..sent {
+            tokio::time::sleep(pause).await;
+            let _ = stream.write_all(b"x").await;
+        }
+        // Keeps the connection open.
+        std::future::pending::<()>().await;
+    });
+    format_compact!("{address}")
+}
+
+async fn exchange<L>(address: &model::Name, limit: L) -> Result<usize, ExchangeError>
+where
+    L: Into<TimeLimit>,
+{
+    let request = Request::new(Full::new(Bytes::new()));
+    let response = Client::default().exchange(address, request, limit).await?;
+    Ok(response.into_body().len())
+}
+
 async fn call(client: &Client, address: &model::Name) {
     let mut request = Request::new(Full::new(Bytes::new()));
     let host = address.parse().expect("valid host");
@@ -68,3 +98,49 @@
 
     assert_eq!(client.idle_connections(), 1);
 }
+
+/// Guards against a limit that large bodies exceed on a slow link, however steadily
+/// they arrive.
+#[tokio::test]
+async fn a_body_that_keeps_arriving_is_read_beyond_the_limit_of_its_head() {
+    let address = start_slow_server(Duration::from_millis(20), 20, 20).await;
+    let limit = TimeLimit {
+        head: Duration::from_millis(200),
+        pause: Duration::from_millis(200),
+        total: Duration::from_secs(10),
+    };
+
+    let read = exchange(&address, limit).await;
+
+    assert_eq!(read, Ok(20));
+}
+
+#[tokio::test]
+async fn a_body_that_stops_arriving_is_given_up_after_the_pause() {
+    let address = start_slow_server(Duration::from_millis(5), 3, 20).await;
+    let limit = TimeLimit {
+        head: Duration::from_millis(200),
+        pause: Duration::from_millis(200),
+        total: Duration::from_secs(60),
+    };
+
+    let started = std::time::Instant::now();
+    let read = exchange(&address, limit).await;
+
+    assert_eq!(read, Err(ExchangeError::Incomplete { received: 3 }));
+    assert!(started.elapsed() < Duration::from_secs(10));
+}
+
+#[tokio::test]
+async fn a_duration_bounds_an_exchange_as_a_whole() {
+    let address = start_slow_server(Duration::from_millis(20), 1_000, 1_000).await;
+
+    let started = std::time::Instant::now();
+    let read = exchange(&address, Duration::from_millis(300)).await;
+
+    assert!(
+        matches!(read, Err(ExchangeError::Incomplete { .. })),
+        "{read:?}"
+    );
+    assert!(started.elapsed() < Duration::from_secs(5));
+}
