Scheduler: test recovery among malformed rows of jobs

Only the layout row was tested malformed, and only as text that is not a number. Covered now: an unreadable submission, state row or change of the job table is logged as a malformed row and the jobs around it are placed; rows with unknown keys are skipped; a layout row out of range keeps the cell closed before any row of a job is read.

--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -1,6 +1,7 @@
 //! Tests of a single entry VM against simulated responses of the table service,
 //! the registry, the backend servers and the external admission policy.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use model::{
@@ -110,6 +111,8 @@
     cell_rows: Vec<Row>,
     /// Rows of jobs that a build without job partitions wrote.
     undivided_rows: Vec<Row>,
+    /// Rows of jobs in the job partitions, as an earlier owner left them.
+    job_rows: Vec<(PartitionId, Row)>,
     /// Transactions that were applied, with their partitions.
     commits: Vec<(PartitionId, Transaction)>,
     /// Whether the table service rejects all writes as unavailable.
@@ -183,6 +186,7 @@
             cell_follow_call: None,
             cell_rows: Vec::new(),
             undivided_rows: Vec::new(),
+            job_rows: Vec::new(),
             commits: Vec::new(),
             store_down: false,
             cell_partition_down: false,
@@ -339,7 +343,11 @@
                         .filter(of_table)
                         .cloned()
                         .collect(),
-                    _ => Vec::new(),
+                    _ => {
+                        let in_partition = self.job_rows.iter().filter(|(p, _)| *p == partition);
+                        let rows = in_partition.map(|(_, row)| row);
+                        rows.filter(of_table).cloned().collect()
+                    }
                 };
                 let result = Ok(StoreResponse::Rows {
                     rows,
@@ -416,6 +424,13 @@
         }
     }
 
+    /// Replaces the value of a row that an earlier owner left.
+    fn replace_job_row(&mut self, key: &str, value: &'static [u8]) {
+        let mut rows = self.job_rows.iter_mut();
+        let (_, row) = rows.find(|(_, row)| row.key == key).expect("stored row");
+        row.cell.value = value.into();
+    }
+
     fn has_claimed(&self) -> bool {
         let mut notices = self.notices.iter();
         notices.any(|notice| matches!(notice, Notice::Claiming { .. }))
@@ -439,6 +454,22 @@
         }
     }
 
+    /// Denies all queries to the external admission policy for a second, since an
+    /// unanswered one holds up others. Returns the jobs that were asked about.
+    fn deny_queries(&mut self) -> BTreeSet<JobId> {
+        let mut jobs = BTreeSet::new();
+        let until = self.now + Duration::from_secs(1);
+        while self.now < until {
+            for (call, job) in std::mem::take(&mut self.policy_calls) {
+                jobs.insert(job);
+                let result = Ok(PolicyDecision::default());
+                self.deliver(Event::PolicyAnswered { call, result });
+            }
+            self.advance(TICK);
+        }
+        jobs
+    }
+
     fn offer(&mut self, cpu_share: f64) {
         let offer = Offer {
             helper: "other".into(),
@@ -902,3 +933,151 @@
     harness.job_scans.sort_unstable();
     assert_eq!(harness.job_scans, [1, 2, 3]);
 }
+
+/// A follower of an owner that accepted these jobs and then stopped, with the rows
+/// that the owner left.
+fn successor_of_jobs(ids: &[&str]) -> Harness {
+    let mut first = Harness::owning(0.25);
+    for id in ids {
+        first.submit(id);
+    }
+    first.advance(Duration::from_millis(100));
+    let mut successor = Harness::new("follower", 0.25, first.cell_rows.clone());
+    for (partition, transaction) in first.commits.iter().filter(|(_, t)| is_submission(t)) {
+        let rows = transaction.writes.iter().filter_map(|write| {
+            let cell = Cell {
+                version: 1,
+                value: write.value.clone()?,
+            };
+            let key = write.key.clone();
+            Some((*partition, Row { key, cell }))
+        });
+        successor.job_rows.extend(rows);
+    }
+    successor
+}
+
+/// Keys of the rows that were logged as malformed, in ascending order.
+fn malformed_keys(harness: &Harness) -> Vec<&str> {
+    let notices = harness.notices.iter();
+    let keys = notices.filter_map(|notice| match notice {
+        Notice::RowMalformed { key } => Some(key.as_str()),
+        _ => None,
+    });
+    let mut keys: Vec<&str> = keys.collect();
+    keys.sort_unstable();
+    keys
+}
+
+/// Number of jobs that a successor found in the rows.
+fn recovered_jobs(harness: &Harness) -> Option<u32> {
+    harness.notices.iter().find_map(|notice| match notice {
+        Notice::Recovered { jobs, .. } => Some(*jobs),
+        _ => None,
+    })
+}
+
+/// One unreadable submission must neither end the recovery nor hide the jobs around
+/// it, in the same partition or in others.
+#[test]
+fn a_malformed_job_row_is_logged_and_the_others_are_recovered() {
+    let ids: Vec<String> = (0..8).map(|n| format!("{n:016x}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    for malformed in [
+        &b""[..],
+        b"\xff",
+        b"\xff\xff\xff\xff\xff\xff",
+        b"{\"queue\":1}",
+    ] {
+        for bad in [ids[0], ids[3], ids[7]] {
+            let mut successor = successor_of_jobs(&ids);
+            let bad_key = format!("job/{bad}");
+            successor.replace_job_row(&bad_key, malformed);
+
+            successor.advance(Duration::from_secs(4));
+            let asked = successor.deny_queries();
+
+            assert!(successor.node.is_owner());
+            assert_eq!(malformed_keys(&successor), [bad_key]);
+            assert_eq!(recovered_jobs(&successor), Some(7));
+            let good = ids.iter().filter(|id| **id != bad);
+            let good: BTreeSet<JobId> = good.map(|id| JobId::from(*id)).collect();
+            assert_eq!(asked, good, "without {bad}");
+        }
+    }
+}
+
+/// One unreadable state must neither end the recovery nor hide the states around it.
+#[test]
+fn a_malformed_state_row_is_logged_and_the_others_are_recovered() {
+    let ids = ["0000000000000001", "0000000000000002", "0000000000000003"];
+    for bad in ids {
+        let mut successor = successor_of_jobs(&ids);
+        let bad_key = format!("state/{bad}");
+        successor.replace_job_row(&bad_key, b"\xff\xff\xff\xff\xff\xff");
+
+        successor.advance(Duration::from_secs(4));
+        let asked = successor.deny_queries();
+
+        assert!(successor.node.is_owner());
+        assert_eq!(malformed_keys(&successor), [bad_key]);
+        for good in ids.into_iter().filter(|id| *id != bad) {
+            assert!(asked.contains(good), "job {good} without {bad}");
+        }
+    }
+}
+
+/// Rows with keys that no build writes must not end the recovery either.
+#[test]
+fn job_rows_with_unknown_keys_are_skipped() {
+    let id = "0000000000000001";
+    let mut successor = successor_of_jobs(&[id]);
+    for key in ["job/", "job//cancel", "job/x/y/z", "state/", "state/x"] {
+        for partition in [1, 2] {
+            let row = row(key, b"\xff\xff\xff\xff\xff\xff");
+            successor.job_rows.push((partition, row));
+        }
+    }
+
+    successor.advance(Duration::from_secs(4));
+    let asked = successor.deny_queries();
+
+    assert!(successor.node.is_owner());
+    assert_eq!(recovered_jobs(&successor), Some(1));
+    assert_eq!(asked, BTreeSet::from([JobId::from(id)]));
+}
+
+/// An unreadable change must not end the following of the job table: the jobs after
+/// it in the same answer are accepted as well.
+#[test]
+fn a_malformed_change_of_the_job_table_is_skipped() {
+    let mut harness = Harness::owning(0.25);
+    let good = "0000000000000002";
+    harness
+        .accepted
+        .push(row("job/0000000000000001", b"\xff\xff"));
+    harness.submit(good);
+
+    harness.advance(Duration::from_millis(200));
+
+    assert!(harness.node.is_owner());
+    assert_eq!(malformed_keys(&harness), ["job/0000000000000001"]);
+    assert!(harness.policy_calls.iter().any(|(_, job)| job == good));
+}
+
+/// The number of a partition beyond the range must not be limited to it, as the
+/// settings are: the rows of jobs would be looked for in the wrong partitions.
+#[test]
+fn a_layout_row_out_of_range_keeps_the_cell_closed() {
+    for text in [&b"0"[..], b"65", b"4294967296", b"-1", b"2.0", b"\xff\xfe"] {
+        let layout = row("cell/layout", text);
+        let mut harness = Harness::new("owner", 0.25, vec![layout]);
+
+        harness.advance(Duration::from_secs(2));
+
+        let reported = |notice: &Notice| matches!(notice, Notice::LayoutUnusable { .. });
+        assert!(harness.notices.iter().any(reported), "{text:?}");
+        assert!(!harness.node.is_ready(), "{text:?}");
+        assert_eq!(harness.job_scans, [], "{text:?}");
+    }
+}
