Scheduler: test run times beyond the range of the clock (fails)

A caller declares the run time of each step, and neither the decoder nor the check of a job limits it. The test submits a job of two steps with extreme run times and another job, which must still be placed.

Fails: "overflow when adding durations" in Owner::remaining_time. The job is stored before that, so each VM that takes over reads it and ends in the same way.

--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -437,11 +437,15 @@
     }
 
     fn submit(&mut self, id: &str) {
+        self.submit_graph(id, graph());
+    }
+
+    fn submit_graph(&mut self, id: &str, graph: Graph) {
         let request = ApiRequest {
             host: "host".into(),
             path: format!("/queue/{id}").into(),
             key: Some(key::hash("key")),
-            kind: RequestKind::Submit(Box::new(graph())),
+            kind: RequestKind::Submit(Box::new(graph)),
         };
         self.deliver(Event::ApiRequest { caller: 1, request });
     }
@@ -1081,3 +1085,33 @@
         assert_eq!(harness.job_scans, [], "{text:?}");
     }
 }
+
+/// A caller may declare any run time. One beyond the range of the scheduler's clock
+/// must not end the owner, and after it each VM that takes over and reads the job.
+#[test]
+fn extreme_run_times_do_not_end_the_owner() {
+    let good = "0000000000000002";
+    for seconds in [u64::MAX, u64::MAX / 2, u64::MAX / 3, 1 << 40] {
+        let mut harness = Harness::owning(0.25);
+        let step = Step {
+            estimate: Duration::from_secs(seconds),
+            image: Name::default(),
+            ..graph().steps[0].clone()
+        };
+        let second = Step {
+            depends_on: vec![0],
+            ..step.clone()
+        };
+        let extreme = Graph {
+            steps: vec![step, second],
+            ..graph()
+        };
+
+        harness.submit_graph("0000000000000001", extreme);
+        harness.submit(good);
+        let asked = harness.deny_queries();
+
+        assert!(harness.node.is_owner(), "{seconds} s");
+        assert!(asked.contains(good), "{seconds} s");
+    }
+}
