Scheduler: saturate times computed from declared run times

Sums and multiples of run times that callers declare panicked on overflow in the forecast and the rank of a job. Both saturate now; values within the range of a duration are computed as before.

--- a/crates/policy/src/rank.rs
+++ b/crates/policy/src/rank.rs
@@ -72,14 +72,13 @@
     /// Returns the rank at `now`.
     #[must_use]
     pub fn rank(&self, now: Duration) -> Rank {
-        let deadline = self.arrived_at + self.objective;
-        let expected_end = now + self.remaining;
+        let deadline = self.arrived_at.saturating_add(self.objective);
+        let expiry = self.objective.saturating_mul(EXPIRY_FACTOR);
+        let expected_end = now.saturating_add(self.remaining);
         let timeliness = match () {
             () if self.long_running => Timeliness::OnTime,
             () if expected_end <= deadline => Timeliness::OnTime,
-            () if expected_end <= self.arrived_at + self.objective * EXPIRY_FACTOR => {
-                Timeliness::Late
-            }
+            () if expected_end <= self.arrived_at.saturating_add(expiry) => Timeliness::Late,
             () => Timeliness::Expired,
         };
         // Teams within their share are not ordered by utilization among themselves.
--- a/crates/sched/src/forecast.rs
+++ b/crates/sched/src/forecast.rs
@@ -14,6 +14,12 @@
 /// a forecast need not be computed on every placement pass.
 const FORECAST_MAX_AGE: Duration = Duration::from_secs(1);
 
+/// Multiplies a duration, saturating at the maximum. Callers declare run times of any
+/// length.
+fn scaled(duration: Duration, factor: f64) -> Duration {
+    Duration::try_from_secs_f64(duration.as_secs_f64() * factor).unwrap_or(Duration::MAX)
+}
+
 impl Owner {
     /// Recomputes a job's forecast if it is missing or older than `FORECAST_MAX_AGE`.
     pub(crate) fn refresh_forecast(&mut self, ix: JobIx, cx: &Cx<'_>) {
@@ -33,7 +39,7 @@
         });
         let forecast = Forecast {
             computed_at: cx.now(),
-            objective: target + critical_path.mul_f64(slack.max(1.0)),
+            objective: target.saturating_add(scaled(critical_path, slack.max(1.0))),
             remaining,
         };
         if let Some(job) = self.ledger.jobs.get_mut(&ix) {
@@ -56,7 +62,7 @@
                 true => Some(Duration::ZERO),
                 false => predecessor_ends.max(),
             };
-            ends[index] = start.map(|start| start + self.expected_run_time(step));
+            ends[index] = start.map(|start| start.saturating_add(self.expected_run_time(step)));
         }
         ends.into_iter().flatten().max().unwrap_or(Duration::ZERO)
     }
