Scheduler: test a configuration with times beyond the clock's range (fails)

The decoder accepts any number as a time of a route. The test puts a configuration with extreme times in force, after which a job must still be admitted and started.

Fails: "overflow when adding durations" in AdmissionPolicy::decision_latency.

--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -1115,3 +1115,33 @@
         assert!(asked.contains(good), "{seconds} s");
     }
 }
+
+/// Times of a configuration beyond the range of the scheduler's clock must not end the
+/// owner, nor each VM that takes over with the same configuration.
+#[test]
+fn extreme_times_in_a_configuration_do_not_end_the_owner() {
+    for extreme in [Duration::MAX, Duration::MAX / 2, Duration::MAX / 3] {
+        let mut queue = config().queues[0].clone();
+        queue.latency_target = extreme;
+        queue.slack_factor = 1e300;
+        queue.admission = Some(AdmissionPolicy {
+            base_latency: extreme,
+            latency_per_server: extreme,
+            ticket_validity: extreme,
+        });
+        let extremes = Config::new(2, vec![queue], config().services, config().teams);
+        let mut harness = Harness::owning(0.25);
+
+        harness.deliver(Event::Config {
+            config: Box::new(extremes),
+            requested_at: harness.now,
+        });
+        harness.submit("0000000000000001");
+        harness.advance(Duration::from_secs(1));
+        harness.answer_policy(vec![("server".into(), "ticket".into())]);
+        harness.advance(Duration::from_secs(1));
+
+        assert!(harness.node.is_owner(), "{extreme:?}");
+        assert!(!harness.starts.is_empty(), "{extreme:?}");
+    }
+}
