Scheduler: bound expected decision latency and ticket lifetime

The expected latency of a decision of the admission policy and the end of a ticket panicked on overflow for extreme times in a configuration. The latency is now at most ten minutes, since timeouts here and in the platform's client are multiples of it, and the end of a ticket saturates.

--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -303,7 +303,8 @@
             .unwrap_or_default();
         let admission = cx.config.queue(&queue).and_then(|queue| queue.admission);
         let validity = admission.map_or(Duration::ZERO, |admission| admission.ticket_validity);
-        let until = cx.now() + validity.saturating_sub(cx.settings.timing.ticket_margin);
+        let validity = validity.saturating_sub(cx.settings.timing.ticket_margin);
+        let until = cx.now().saturating_add(validity);
         cx.out.push(Effect::RecordMetric {
             metric: Metric::PolicyCall,
             team,
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -8,6 +8,10 @@
 
 use model::{Hash, Name, Resources};
 
+/// Upper bound on an expected decision latency. Timeouts are multiples of it, so it is
+/// far below the maximum of a duration.
+const MAX_DECISION_LATENCY: Duration = Duration::from_secs(600);
+
 /// Latency model of the external admission policy, which decides which backend
 /// servers may run a step.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,7 +28,10 @@
     /// Expected latency of a decision about `servers` backend servers.
     #[must_use]
     pub fn decision_latency(&self, servers: usize) -> Duration {
-        self.base_latency + self.latency_per_server * servers as u32
+        let all = self.latency_per_server.saturating_mul(servers as u32);
+        self.base_latency
+            .saturating_add(all)
+            .min(MAX_DECISION_LATENCY)
     }
 }
 
