Scheduler: test recovery with mutated rows of a job

The malformed rows tested so far can't be decoded at all. The new test mutates the bytes of a job's submission and of its state with a run, 500 seeds: some rows decode as others, some don't, and the successor stays the owner and places the other job.

--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -1,9 +1,12 @@
 //! Tests of a single entry VM against simulated responses of the table service,
 //! the registry, the backend servers and the external admission policy.
 
-use std::collections::BTreeSet;
+use std::cell::Cell as Counter;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use arbtest::arbtest;
+use bytes::Bytes;
 use model::{
     Attempt, Cell, Epoch, Graph, JobId, Name, Resources, Row, RunKey, Step, TaskId, Transaction,
     key,
@@ -425,7 +428,10 @@
     }
 
     /// Replaces the value of a row that an earlier owner left.
-    fn replace_job_row(&mut self, key: &str, value: &'static [u8]) {
+    fn replace_job_row<B>(&mut self, key: &str, value: B)
+    where
+        B: Into<Bytes>,
+    {
         let mut rows = self.job_rows.iter_mut();
         let (_, row) = rows.find(|(_, row)| row.key == key).expect("stored row");
         row.cell.value = value.into();
@@ -938,26 +944,32 @@
     assert_eq!(harness.job_scans, [1, 2, 3]);
 }
 
-/// A follower of an owner that accepted these jobs and then stopped, with the rows
-/// that the owner left.
-fn successor_of_jobs(ids: &[&str]) -> Harness {
-    let mut first = Harness::owning(0.25);
+/// An owner that accepted these jobs.
+fn owner_of_jobs(ids: &[&str]) -> Harness {
+    let mut owner = Harness::owning(0.25);
     for id in ids {
-        first.submit(id);
+        owner.submit(id);
     }
-    first.advance(Duration::from_millis(100));
-    let mut successor = Harness::new("follower", 0.25, first.cell_rows.clone());
-    for (partition, transaction) in first.commits.iter().filter(|(_, t)| is_submission(t)) {
-        let rows = transaction.writes.iter().filter_map(|write| {
-            let cell = Cell {
-                version: 1,
-                value: write.value.clone()?,
-            };
-            let key = write.key.clone();
-            Some((*partition, Row { key, cell }))
-        });
-        successor.job_rows.extend(rows);
+    owner.advance(Duration::from_millis(100));
+    owner
+}
+
+/// A follower of an owner that stopped, with the rows that the owner left.
+fn successor_of(owner: &Harness) -> Harness {
+    let mut rows = BTreeMap::new();
+    for (partition, transaction) in &owner.commits {
+        for write in &transaction.writes {
+            rows.insert((*partition, &write.key), write.value.as_ref());
+        }
     }
+    let rows = rows.into_iter().filter_map(|((partition, key), value)| {
+        let value = value?.clone();
+        let cell = Cell { version: 1, value };
+        let key = key.clone();
+        Some((partition, Row { key, cell }))
+    });
+    let mut successor = Harness::new("follower", 0.25, owner.cell_rows.clone());
+    successor.job_rows = rows.collect();
     successor
 }
 
@@ -994,7 +1006,7 @@
         b"{\"queue\":1}",
     ] {
         for bad in [ids[0], ids[3], ids[7]] {
-            let mut successor = successor_of_jobs(&ids);
+            let mut successor = successor_of(&owner_of_jobs(&ids));
             let bad_key = format!("job/{bad}");
             successor.replace_job_row(&bad_key, malformed);
 
@@ -1016,9 +1028,9 @@
 fn a_malformed_state_row_is_logged_and_the_others_are_recovered() {
     let ids = ["0000000000000001", "0000000000000002", "0000000000000003"];
     for bad in ids {
-        let mut successor = successor_of_jobs(&ids);
+        let mut successor = successor_of(&owner_of_jobs(&ids));
         let bad_key = format!("state/{bad}");
-        successor.replace_job_row(&bad_key, b"\xff\xff\xff\xff\xff\xff");
+        successor.replace_job_row(&bad_key, &b"\xff\xff\xff\xff\xff\xff"[..]);
 
         successor.advance(Duration::from_secs(4));
         let asked = successor.deny_queries();
@@ -1035,7 +1047,7 @@
 #[test]
 fn job_rows_with_unknown_keys_are_skipped() {
     let id = "0000000000000001";
-    let mut successor = successor_of_jobs(&[id]);
+    let mut successor = successor_of(&owner_of_jobs(&[id]));
     for key in ["job/", "job//cancel", "job/x/y/z", "state/", "state/x"] {
         for partition in [1, 2] {
             let row = row(key, b"\xff\xff\xff\xff\xff\xff");
@@ -1145,3 +1157,53 @@
         assert!(!harness.starts.is_empty(), "{extreme:?}");
     }
 }
+
+/// Seeds of the mutated rows. Each is shifted into the upper 32 bits of an `arbtest`
+/// seed, whose lower 32 bits set the size of the input.
+const SEEDS: std::ops::Range<u64> = 0..500;
+
+/// Whatever bytes a row of a job has, reading it must neither end the owner nor keep
+/// it from the other jobs. A mutated row may decode as another valid one.
+#[test]
+fn mutated_rows_of_a_job_do_not_end_the_recovery() {
+    let (bad, good) = ("0000000000000001", "0000000000000002");
+    let mut owner = owner_of_jobs(&[bad]);
+    owner.starts_lost = true;
+    owner.answer_policy(vec![("server".into(), "ticket".into())]);
+    owner.advance(Duration::from_millis(100));
+    assert!(!owner.starts.is_empty(), "a state row with a run");
+    owner.submit(good);
+    owner.advance(Duration::from_millis(100));
+    let (malformed, decoded) = (Counter::new(0), Counter::new(0));
+    for seed in SEEDS {
+        arbtest(|u| {
+            let mut successor = successor_of(&owner);
+            let key = format!("{}/{bad}", u.choose(&["job", "state"])?);
+            let mut rows = successor.job_rows.iter();
+            let (_, row) = rows.find(|(_, row)| row.key == key).expect("stored row");
+            let mut bytes = row.cell.value.to_vec();
+            for _ in 0..u.int_in_range(1..=4)? {
+                let at = u.choose_index(bytes.len())?;
+                bytes[at] = u.arbitrary()?;
+            }
+            if u.ratio(1, 4)? {
+                bytes.truncate(u.int_in_range(0..=bytes.len())?);
+            }
+            successor.replace_job_row(&key, bytes);
+
+            successor.advance(Duration::from_secs(4));
+            let asked = successor.deny_queries();
+
+            let outcome = match malformed_keys(&successor).is_empty() {
+                true => &decoded,
+                false => &malformed,
+            };
+            outcome.set(outcome.get() + 1);
+            assert!(successor.node.is_owner());
+            assert!(asked.contains(good));
+            Ok(())
+        })
+        .seed(seed << 32 | 0x80);
+    }
+    assert!(malformed.get() > 0 && decoded.get() > 0, "both outcomes");
+}
