--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -370,7 +370,7 @@
                     self.commits.expire(at, id, partition);
                 }
                 (None, Some(_)) => {}
-                (_, None) if row.cell.value.is_empty() => {}
+                (_, None) if live_value(row).is_none() => {}
                 (_, None) => cx.log(Notice::RowMalformed {
                     key: row.key.clone(),
                 }),
