--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -32,6 +32,10 @@
 /// Idle time from which connections are closed when there are too many. Connections
 /// that are used all the time are idle for milliseconds.
 const MAX_IDLE_TIME_WHEN_FULL: Duration = Duration::from_secs(1);
+/// Time for a body of unknown size. The largest one, `MAX_RESPONSE_BYTES`, takes 13.4 s
+/// over a link of 10 Mbit/s. A limit that the link can't meet would fail again at each
+/// repetition, and the abandoned responses would fill the link.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(15);
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -65,6 +69,19 @@
     pub total: Duration,
 }
 
+impl TimeLimit {
+    /// Limits for a response whose size is not known: it has to begin within `head`,
+    /// to go on after each `pause`, and may take 15 s from its head on.
+    #[must_use]
+    pub const fn for_transfer(head: Duration, pause: Duration) -> Self {
+        Self {
+            head,
+            pause,
+            total: head.saturating_add(MAX_TRANSFER_TIME),
+        }
+    }
+}
+
 impl From<Duration> for TimeLimit {
     fn from(limit: Duration) -> Self {
         Self {
@@ -231,7 +248,9 @@
         match frame {
             Ok(None) => return Ok(received.freeze()),
             // Frames other than data are trailers.
-            Ok(Some(Ok(frame))) => received.extend(frame.into_data().unwrap_or_default()),
+            Ok(Some(Ok(frame))) => {
+                received.extend_from_slice(&frame.into_data().unwrap_or_default());
+            }
             Ok(Some(Err(_))) | Err(_) => {
                 let received = received.len();
                 return Err(ExchangeError::Incomplete { received });
