Scans of the table service are read as long as they arrive

Over a link that needs longer, a new owner would never finish.

A read with scans uses the limit for transfers; a read of rows keeps its limit.

--- a/crates/node/src/edge.rs
+++ b/crates/node/src/edge.rs
@@ -15,7 +15,8 @@
 /// Calls to the platform's table service and VM list.
 pub trait Platform: Clone + Send + Sync + 'static {
     /// Reads rows from the table service or commits transactions to it, within
-    /// `limit`.
+    /// `limit`. A scan, whose size has no bound, has to begin within `limit` and may
+    /// go on as long as its rows arrive.
     fn table(
         &self,
         call: TableCall,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,5 +23,5 @@
 pub use cli::main_with;
 pub use edge::{Executors, OutboundClients, Platform, Workers};
 pub use http_client::{Client, ExchangeError, TimeLimit};
-pub use platform::{CommitRequest, ListVmsRequest, ReadRequest, ReadResponse};
-pub use settings::{File, Problem, load, parse};
+pub use platform::{CommitRequest, HttpPlatform, ListVmsRequest, ReadRequest, ReadResponse};
+pub use settings::{File, Problem, Services, load, parse};
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::edge::Platform;
-use crate::http_client::{Client, ExchangeError, post_json};
+use crate::http_client::{Client, ExchangeError, TimeLimit, post_json};
 use crate::settings::Services;
 
 /// Body of `POST /v1/read`.
@@ -54,14 +54,16 @@
 
 /// Implements `Platform` over HTTP.
 #[derive(Clone, Debug)]
-pub(crate) struct HttpPlatform {
+pub struct HttpPlatform {
     client: Client,
     table: Name,
     vms: Name,
 }
 
 impl HttpPlatform {
-    pub(crate) fn new(client: Client, services: &Services) -> Self {
+    /// Creates a client of the services at the addresses in `services`.
+    #[must_use]
+    pub fn new(client: Client, services: &Services) -> Self {
         Self {
             client,
             table: compact_str::format_compact!("{}", services.table),
@@ -69,14 +71,10 @@
         }
     }
 
-    async fn post_table<T>(
-        &self,
-        path: &str,
-        body: &T,
-        limit: Duration,
-    ) -> Result<Bytes, TableError>
+    async fn post_table<T, L>(&self, path: &str, body: &T, limit: L) -> Result<Bytes, TableError>
     where
         T: Serialize + Sync,
+        L: Into<TimeLimit> + Send,
     {
         let request = post_json(&self.table, path, body);
         let response = self.client.exchange(&self.table, request, limit).await;
@@ -110,6 +108,11 @@
     async fn table(&self, call: TableCall, limit: Duration) -> Result<TableResponse, TableError> {
         match call {
             TableCall::Read { rows, scans } => {
+                // The size of a scan grows with the number of jobs.
+                let limit = match scans.is_empty() {
+                    true => limit.into(),
+                    false => TimeLimit::for_transfer(limit, limit),
+                };
                 let bytes = self
                     .post_table("/v1/read", &ReadRequest { rows, scans }, limit)
                     .await?;
