Log which run is given up, unexpected ends, unused lists, unconfirmed terms

Events 368 (a run counts as ended without a report), 369 (an end of a run that the owner no longer held), 355 (lists that were not used) and 347 (an owner that goes on by a majority). No decision changes.

--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -43,6 +43,9 @@
             end: finished.outcome,
             ran_ms: ms(ran),
         });
+        if placed.is_none() {
+            self.log_unexpected_end(run, server, finished.outcome, cx);
+        }
         self.update_health(server, run, finished.outcome, cx);
         self.save_checkpoint(task, &finished.checkpoint);
         self.mark_dirty_lazily(task.step.job, cx.now());
@@ -60,6 +63,19 @@
         self.check_job_completion(task.step.job, cx);
     }
 
+    fn log_unexpected_end(&self, run: RunRef, server: ServerIx, end: RunOutcome, cx: &mut Cx<'_>) {
+        let label = self.run_label(run, server);
+        let others = self.ledger.task(run.task).map_or(0, |task| task.runs.len());
+        cx.log(Notice::EndUnexpected {
+            job: label.job,
+            task: label.task,
+            run: run.number,
+            server: label.server,
+            end,
+            others: others as u32,
+        });
+    }
+
     /// Removes a run that was never started or has certainly terminated, without
     /// being listed as ended.
     pub(crate) fn discard_run(&mut self, run: RunRef, cx: &mut Cx<'_>) {
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -135,10 +135,13 @@
     ) {
         let server = self.fleet.get_mut(ix);
         let Some(renewal) = server.renewal.take_if(|renewal| renewal.call == call) else {
+            self.log_unused_lists(ix, &result, "a later renewal was sent", cx);
             return;
         };
         if server.state == ServerState::Ended {
-            return; // The incarnation terminated while the renewal was in flight.
+            // The incarnation terminated while the renewal was in flight.
+            self.log_unused_lists(ix, &result, "the incarnation counts as ended", cx);
+            return;
         }
         let timing = &cx.settings.timing;
         match result {
@@ -166,6 +169,22 @@
         }
     }
 
+    fn log_unused_lists(
+        &self,
+        ix: ServerIx,
+        result: &Result<OrderResponse, OrderError>,
+        why: &str,
+        cx: &mut Cx<'_>,
+    ) {
+        if let Ok(OrderResponse::Lists(lists)) = result {
+            cx.log(Notice::ListsUnused {
+                server: self.fleet.get(ix).listing.id.clone(),
+                ends: lists.finished.len() as u32,
+                why: why.into(),
+            });
+        }
+    }
+
     fn mark_unresponsive(&mut self, ix: ServerIx, fault: OrderError, cx: &mut Cx<'_>) {
         let server = self.fleet.get_mut(ix);
         if !server.unresponsive {
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -79,6 +79,9 @@
         servers: u32,
         unreached: u32,
     },
+    /// No write was confirmed for long; the owner goes on because a majority of the
+    /// backend servers answers it.
+    Unconfirmed { epoch: Epoch, silent_ms: u64 },
     /// Periodic summary of the owner's state.
     Summary {
         jobs: u32,
@@ -122,6 +125,8 @@
     },
     /// All runs on a backend server count as ended, without a report from it.
     ServerLost { server: Name, runs: u32, why: Name },
+    /// A response of a backend server with its lists was not used.
+    ListsUnused { server: Name, ends: u32, why: Name },
     /// A backend server started draining.
     ServerLeaving { server: Name, runs: u32 },
     /// A backend server failed tasks of several jobs and gets no new work for a
@@ -183,6 +188,24 @@
         run: Attempt,
         server: Name,
     },
+    /// A run counts as ended without a report of its end.
+    RunLost {
+        job: Name,
+        task: Name,
+        run: Attempt,
+        server: Name,
+        why: Name,
+    },
+    /// A backend server listed the end of a run that this owner no longer held.
+    EndUnexpected {
+        job: Name,
+        task: Name,
+        run: Attempt,
+        server: Name,
+        end: RunOutcome,
+        /// Number of runs of the task that exist now.
+        others: u32,
+    },
     /// The first task of a job started, or the job reached a terminal stage.
     JobStage {
         job: Name,
@@ -253,11 +276,13 @@
             Self::OwnerSeen { .. } => 344,
             Self::Recovered { .. } => 345,
             Self::Summary { .. } => 346,
+            Self::Unconfirmed { .. } => 347,
             Self::ServerHeld { .. } => 350,
             Self::ServerSilent { .. } => 351,
             Self::ServerLost { .. } => 352,
             Self::ServerLeaving { .. } => 353,
             Self::ServerHeldBack { .. } => 354,
+            Self::ListsUnused { .. } => 355,
             Self::Start { .. } => 360,
             Self::StartRejected { .. } => 361,
             Self::StartLost { .. } => 362,
@@ -266,6 +291,8 @@
             Self::RunVanished { .. } => 365,
             Self::RunAdopted { .. } => 366,
             Self::JobStage { .. } => 367,
+            Self::RunLost { .. } => 368,
+            Self::EndUnexpected { .. } => 369,
             Self::AdviceAsked { .. } => 370,
             Self::AdviceGiven { .. } => 371,
             Self::AdviceFailed { .. } => 372,
@@ -289,6 +316,7 @@
                 | Self::ServerSilent { .. }
                 | Self::ServerLost { .. }
                 | Self::ServerHeldBack { .. }
+                | Self::Unconfirmed { .. }
                 | Self::AdviceFailed { .. }
                 | Self::RowMalformed { .. }
                 | Self::LayoutUnusable { .. }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -19,7 +19,7 @@
 use crate::fleet::{Fleet, ServerIx, ServerState};
 use crate::heartbeat::Heartbeats;
 use crate::ledger::{JobIx, Ledger, RunRef, RunState};
-use crate::notice::Notice;
+use crate::notice::{Notice, ms};
 use crate::recover::Recovery;
 use crate::roster::Roster;
 use crate::settings::Settings;
@@ -102,6 +102,8 @@
     pub(crate) next_summary_at: Duration,
     /// Steps with tasks to start, as of the last placement pass.
     pub(crate) waiting_steps: u32,
+    /// The current lack of confirmed writes was logged.
+    unconfirmed_logged: bool,
 }
 
 impl Owner {
@@ -132,6 +134,7 @@
             next_sweep_at: Duration::ZERO,
             next_summary_at: Duration::ZERO,
             waiting_steps: 0,
+            unconfirmed_logged: false,
         };
         cx.out.push(Effect::WatchServers(true));
         owner.start_recovery(cx);
@@ -316,6 +319,14 @@
             why: why.into(),
         });
         for run in runs {
+            let label = self.run_label(run, ix);
+            cx.log(Notice::RunLost {
+                job: label.job,
+                task: label.task,
+                run: run.number,
+                server: label.server,
+                why: why.into(),
+            });
             self.discard_run(run, cx);
         }
     }
@@ -366,6 +377,7 @@
     pub(crate) fn tick(&mut self, cx: &mut Cx<'_>) {
         let age = cx.settings.timing.majority_max_age;
         cx.term.majority_reachable = self.has_majority(Some((cx.now(), age)));
+        self.log_unconfirmed(cx);
         self.send_planned_starts(cx);
         self.send_due_renewals(cx);
         if cx.now() >= self.next_sweep_at {
@@ -378,6 +390,19 @@
         self.log_summary(cx);
     }
 
+    /// Logs once per outage that this term is valid only by a majority of the backend
+    /// servers.
+    fn log_unconfirmed(&mut self, cx: &mut Cx<'_>) {
+        let silent = cx.now().saturating_sub(cx.term.confirmed_at);
+        let unconfirmed = silent >= cx.settings.timing.ownership_validity;
+        if unconfirmed && !self.unconfirmed_logged {
+            let epoch = cx.term.epoch();
+            let silent_ms = ms(silent);
+            cx.log(Notice::Unconfirmed { epoch, silent_ms });
+        }
+        self.unconfirmed_logged = unconfirmed;
+    }
+
     /// Makes the decisions that follow from the events handled so far.
     pub(crate) fn settle(&mut self, cx: &mut Cx<'_>) {
         self.decide_record_trust(cx);
