Count leases of earlier owners from when none can have a majority

An owner without the table service is valid as long as a majority of the backend servers answers it, so its authority does not end with the claim of a successor. The successor counted the leases of its predecessors from the claim: 8.2 s later they were over, whether or not it had called any backend server. With a recovery that reads its rows for 11 s, runs counted as ended which the predecessor had renewed milliseconds before.

The bound is now unknown until so many backend servers of the inherited roster have answered the successor, have ended, or have left the registry, that no predecessor can have a majority. From then on it is the longer of the validity after the claim and the age of a majority's answers, plus a pause that a VM does not notice, plus one lease. In a takeover that reaches a majority within 1 s of its claim the bound is as before.

The test fails without the change (188 starts where 0 are allowed), with it the owner's tests and graphs pass.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -66,6 +66,10 @@
     pub(crate) listing: Listing,
     /// True while the registry has an entry for this incarnation.
     pub(crate) listed: bool,
+    /// Since when the registry is known to have no entry for it.
+    pub(crate) unlisted_at: Option<Duration>,
+    /// True when the roster that an earlier owner stored lists it.
+    pub(crate) in_inherited_roster: bool,
     pub(crate) state: ServerState,
     /// Number of earlier incarnations of its id that this owner has seen.
     pub(crate) prior_incarnations: u64,
@@ -113,6 +117,8 @@
         Self {
             listing,
             listed,
+            unlisted_at: None,
+            in_inherited_roster: false,
             state: ServerState::Discovered,
             prior_incarnations: 0,
             inherited: false,
@@ -151,6 +157,12 @@
         self.next_renewal_at = now;
     }
 
+    /// True when the registry has had no entry for it for so long that it has left.
+    pub(crate) fn is_gone(&self, timing: &Timing, now: Duration) -> bool {
+        let absent = |at| now >= at + timing.registry_absence;
+        !self.listed && self.unlisted_at.is_some_and(absent)
+    }
+
     /// Resources that are not committed to any run.
     pub(crate) fn free(&self) -> Resources {
         self.listing.capacity.minus(self.used)
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -186,13 +186,14 @@
     }
 
     fn mark_unresponsive(&mut self, ix: ServerIx, fault: OrderError, cx: &mut Cx<'_>) {
+        let expire_at = self.leases_expire_at(ix);
         let server = self.fleet.get_mut(ix);
         if !server.unresponsive {
             server.unresponsive = true;
             let notice = Notice::ServerSilent {
                 server: server.listing.id.clone(),
                 fault,
-                lease_left_ms: ms(server.leases_expire_at.saturating_sub(cx.now())),
+                lease_left_ms: expire_at.map(|at| ms(at.saturating_sub(cx.now()))),
             };
             cx.log(notice);
         }
@@ -434,6 +435,19 @@
         self.send_order(ix, order, SentOrder::StopOrphan, cx);
     }
 
+    /// When all leases on a backend server have certainly expired, unless this owner
+    /// renews them; `None` while an earlier owner may still do so.
+    fn leases_expire_at(&self, ix: ServerIx) -> Option<Duration> {
+        let server = self.fleet.get(ix);
+        match server.inherited {
+            true => {
+                let prior = self.recovery.prior_orders_until()?;
+                Some(prior.max(server.leases_expire_at))
+            }
+            false => Some(server.leases_expire_at),
+        }
+    }
+
     /// Discards the runs of backend servers whose leases have certainly expired,
     /// and removes unresponsive backend servers that left the registry.
     pub(crate) fn expire_servers(&mut self, cx: &mut Cx<'_>) {
@@ -441,7 +455,7 @@
         let live: Vec<ServerIx> = self.fleet.live().collect();
         for ix in live {
             let server = self.fleet.get(ix);
-            let expired = now >= server.leases_expire_at;
+            let expired = self.leases_expire_at(ix).is_some_and(|at| now >= at);
             let unresponsive = now >= server.last_answer_at + cx.settings.timing.server_timeout;
             let unused = server.runs.is_empty() && !server.inherited;
             if expired && !server.runs.is_empty() {
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -19,11 +19,9 @@
 use crate::partition::CELL_PARTITION;
 use crate::rows;
 use crate::settings::Settings;
-use crate::term::{Role, Term};
+use crate::term::{Role, SUSPENSION_GAP, Term};
 use crate::verify::Violation;
 
-/// Minimum gap between two events that is treated as a suspension of the VM.
-const SUSPENSION_GAP: Duration = Duration::from_millis(1_500);
 /// Delay before retrying a failed read of the cell table.
 pub(crate) const CELL_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Delay before the cell table is followed again after it has changed. The owner
@@ -172,7 +170,9 @@
             Event::ServerListed(listing) => {
                 self.with_owner(|owner, cx| owner.server_listed(listing, cx));
             }
-            Event::ServerUnlisted(id) => self.with_owner(|owner, _| owner.server_unlisted(&id)),
+            Event::ServerUnlisted(id) => {
+                self.with_owner(|owner, cx| owner.server_unlisted(&id, cx.now()));
+            }
             Event::OrderAnswered { call, result } => {
                 self.with_owner(|owner, cx| owner.order_answered(call, result, cx));
             }
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -121,7 +121,7 @@
     ServerSilent {
         server: Name,
         fault: OrderError,
-        lease_left_ms: u64,
+        lease_left_ms: Option<u64>,
     },
     /// All runs on a backend server count as ended, without a report from it.
     ServerLost { server: Name, runs: u32, why: Name },
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -212,7 +212,10 @@
             self.server_listed(listing, cx);
         }
         for id in missing {
-            self.server_unlisted(&id);
+            self.server_unlisted(&id, cx.now());
+        }
+        for server in self.fleet.servers.iter_mut().filter(|s| !s.listed) {
+            server.unlisted_at.get_or_insert(cx.now());
         }
         self.recovery.registry_loaded = true;
     }
@@ -276,6 +279,7 @@
         let starts_draining = listing.draining && !server.listing.draining;
         server.listing = listing;
         server.listed = true;
+        server.unlisted_at = None;
         if starts_draining {
             let notice = Notice::ServerLeaving {
                 server: server.listing.id.clone(),
@@ -287,9 +291,11 @@
 
     /// Handles the removal of a registry entry. Runs on the backend server
     /// continue for as long as it responds.
-    pub(crate) fn server_unlisted(&mut self, id: &Name) {
+    pub(crate) fn server_unlisted(&mut self, id: &Name, now: Duration) {
         if let Some(ix) = self.fleet.find(id) {
-            self.fleet.get_mut(ix).listed = false;
+            let server = self.fleet.get_mut(ix);
+            server.listed = false;
+            server.unlisted_at.get_or_insert(now);
         }
     }
 
@@ -376,7 +382,7 @@
     /// Does the periodic work.
     pub(crate) fn tick(&mut self, cx: &mut Cx<'_>) {
         let age = cx.settings.timing.majority_max_age;
-        cx.term.majority_reachable = self.has_majority(Some((cx.now(), age)));
+        cx.term.majority_reachable = self.has_majority(cx.now(), age);
         self.log_unconfirmed(cx);
         self.send_planned_starts(cx);
         self.send_due_renewals(cx);
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -19,6 +19,8 @@
 use crate::owner::{Cx, Owner};
 use crate::partition::{CELL_PARTITION, Layout, PartitionId};
 use crate::rows::{self, Heartbeat, JobKey, JobRecord, RunRecord, Submission};
+use crate::settings::Timing;
+use crate::term::SUSPENSION_GAP;
 
 /// Maximum number of rows in one page of a scan.
 const PAGE_ROWS: u32 = 500;
@@ -84,15 +86,16 @@
     follow_at: Option<Duration>,
     /// Version up to which changes of the job table were applied.
     followed_version: u64,
-    /// When no order of an earlier owner can be in effect any more.
-    prior_orders_until: Duration,
+    /// When no order of an earlier owner can be in effect any more; `None` until a
+    /// majority of the backend servers has certainly stopped answering earlier owners.
+    prior_orders_until: Option<Duration>,
     /// The end of the recovery was logged.
     logged: bool,
     /// Time of the previous owner's last heartbeat, on the table service's clock;
     /// `None` when there is none.
     last_heartbeat: Option<Duration>,
-    /// Whether the records cover all runs that may exist; `None` until a majority
-    /// of the backend servers has answered.
+    /// Whether the records cover all runs that may exist; `None` as long as an
+    /// earlier owner may have a majority of the backend servers.
     records_trusted: Option<bool>,
 }
 
@@ -112,14 +115,26 @@
     /// True while an earlier owner may still send orders, or its orders may still
     /// be in effect.
     pub(crate) fn may_have_prior_orders(&self, now: Duration) -> bool {
-        now < self.prior_orders_until
+        self.prior_orders_until.is_none_or(|until| now < until)
     }
 
-    /// When no order of an earlier owner can be in effect any more.
-    pub(crate) fn prior_orders_until(&self) -> Duration {
+    /// When no order of an earlier owner can be in effect any more; `None` while that
+    /// is unknown.
+    pub(crate) fn prior_orders_until(&self) -> Option<Duration> {
         self.prior_orders_until
     }
 
+    /// Notes that from `now` on no earlier owner can have a majority of the backend
+    /// servers. Until then a majority may have kept its term valid, however long ago
+    /// this term began.
+    fn predecessors_superseded(&mut self, timing: &Timing, now: Duration) {
+        let by_write = self.began_at + timing.ownership_validity;
+        // It may be suspended unnoticed between its last response and its last order.
+        let by_majority = now + timing.majority_max_age + SUSPENSION_GAP;
+        let lease = timing.lease.div_f64(timing.min_clock_rate);
+        self.prior_orders_until = Some(by_write.max(by_majority) + lease);
+    }
+
     /// Removes the completed scans of a table and returns their rows.
     fn take_rows(&mut self, table: Table) -> Vec<Row> {
         let scans = self.scans.extract_if(.., |scan| scan.table == table);
@@ -130,9 +145,6 @@
 impl Owner {
     /// Starts to read the rows with which a term begins.
     pub(crate) fn start_recovery(&mut self, cx: &mut Cx<'_>) {
-        let timing = &cx.settings.timing;
-        let longest = timing.ownership_validity + timing.lease.div_f64(timing.min_clock_rate);
-        self.recovery.prior_orders_until = cx.now() + longest;
         self.start_scan(Table::Cell, CELL_PARTITION, cx);
         self.start_scan(Table::Roster, CELL_PARTITION, cx);
     }
@@ -540,16 +552,18 @@
         self.finish_recovery(cx);
     }
 
-    /// Decides whether the records can be trusted, once a majority of the backend
-    /// servers has answered. They can unless the previous owner's last heartbeat is
-    /// so old that it may have started tasks unrecorded since.
+    /// Decides whether the records can be trusted, once no earlier owner can have a
+    /// majority of the backend servers. They can unless the previous owner's last
+    /// heartbeat is so old that it may have started tasks unrecorded since.
     pub(crate) fn decide_record_trust(&mut self, cx: &mut Cx<'_>) {
         if self.recovery.records_trusted.is_some()
             || !self.recovery.tables_loaded
-            || !self.has_majority(None)
+            || self.predecessor_may_have_majority(cx)
         {
             return;
         }
+        let timing = &cx.settings.timing;
+        self.recovery.predecessors_superseded(timing, cx.now());
         let clock = cx.term.store_clock(cx.now());
         let silence = self
             .recovery
@@ -562,13 +576,12 @@
     }
 
     /// True when a majority of the backend servers in use has answered in this
-    /// owner's epoch. `within` is the current time and a maximum age of the last
-    /// response.
-    pub(crate) fn has_majority(&self, within: Option<(Duration, Duration)>) -> bool {
+    /// owner's epoch, each within `max_age`.
+    pub(crate) fn has_majority(&self, now: Duration, max_age: Duration) -> bool {
         let (mut reachable, mut all) = (0_usize, 0_usize);
         for ix in self.fleet.live() {
             let server = self.fleet.get(ix);
-            let recent = within.is_none_or(|(now, age)| now < server.last_answer_at + age);
+            let recent = now < server.last_answer_at + max_age;
             let used = server.state != ServerState::Discovered;
             all += usize::from(used);
             reachable += usize::from(server.state == ServerState::Held && recent);
@@ -576,6 +589,24 @@
         reachable * 2 > all || all == 0
     }
 
+    /// True while so many backend servers of the inherited roster may answer an earlier
+    /// owner that they can be a majority.
+    fn predecessor_may_have_majority(&self, cx: &Cx<'_>) -> bool {
+        let inherited = self.fleet.servers.iter().filter(|s| s.in_inherited_roster);
+        let (mut unfenced, mut all) = (0_usize, 0_usize);
+        for server in inherited {
+            let fenced = match server.state {
+                ServerState::Held | ServerState::Ended => true,
+                ServerState::Discovered | ServerState::InRoster => {
+                    server.is_gone(&cx.settings.timing, cx.now())
+                }
+            };
+            all += 1;
+            unfenced += usize::from(!fenced);
+        }
+        unfenced * 2 > all
+    }
+
     /// Logs the recovery once, and clears the `inherited` flag of backend servers
     /// once no order of an earlier owner can be in effect.
     fn finish_recovery(&mut self, cx: &mut Cx<'_>) {
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -166,7 +166,6 @@
     }
 
     fn load_roster_entry(&mut self, entry: RosterEntry) {
-        let prior_orders_until = self.recovery.prior_orders_until();
         let listed = self.fleet.find(&entry.id);
         let same = |ix: &ServerIx| self.fleet.get(*ix).listing.incarnation == entry.incarnation;
         let ix = match listed.filter(same) {
@@ -189,7 +188,7 @@
         };
         let server = self.fleet.get_mut(ix);
         server.inherited = true;
+        server.in_inherited_roster = true;
         server.state = ServerState::InRoster;
-        server.leases_expire_at = prior_orders_until;
     }
 }
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -56,6 +56,9 @@
     /// Time without a response after which a backend server gets no new work;
     /// longer than `renewal_wait` plus the latency of a response.
     pub server_timeout: Duration,
+    /// Time without an entry in the registry after which a backend server has left;
+    /// longer than the registry needs to list all of them again after an outage.
+    pub registry_absence: Duration,
     /// Age of the last confirmation of the configuration above which API keys
     /// are no longer trusted.
     pub max_config_age: Duration,
@@ -95,6 +98,7 @@
             renewal_gap: ms(20),
             renewal_retry: ms(250),
             server_timeout: ms(3_000),
+            registry_absence: ms(3_000),
             max_config_age: ms(4_000),
             early_start: ms(0),
             store_timeout: ms(1_200),
--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -14,6 +14,8 @@
 use crate::rows::{self, Heartbeat, OwnerRow};
 use crate::settings::Settings;
 
+/// Minimum gap between two events that is treated as a suspension of the VM.
+pub(crate) const SUSPENSION_GAP: Duration = Duration::from_millis(1_500);
 /// Upper bound of the random delay of a claim, which keeps VMs from claiming at
 /// the same time.
 const CLAIM_JITTER: Duration = Duration::from_millis(120);
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -112,6 +112,8 @@
     cell_follow_call: Option<CallId>,
     /// Current rows of the cell table.
     cell_rows: Vec<Row>,
+    /// Rows of the roster.
+    roster_rows: Vec<Row>,
     /// Rows of jobs that a build without job partitions wrote.
     undivided_rows: Vec<Row>,
     /// Rows of jobs in the job partitions, as an earlier owner left them.
@@ -152,6 +154,14 @@
     holds_renewals: bool,
     /// Fencing tokens of the lease renewals.
     renewal_tokens: Vec<Epoch>,
+    /// Whether lease renewals are answered at the next tick instead of at once.
+    renews_by_tick: bool,
+    /// Lease renewals that are answered at the next tick.
+    pending_renewals: Vec<CallId>,
+    /// The registry's entries when a node begins to watch it.
+    listings: Vec<Listing>,
+    /// Backend servers whose responses to orders are lost.
+    unreachable: BTreeSet<Name>,
 }
 
 /// True for the write with which a job is accepted.
@@ -188,6 +198,7 @@
             job_follow_call: None,
             cell_follow_call: None,
             cell_rows: Vec::new(),
+            roster_rows: Vec::new(),
             undivided_rows: Vec::new(),
             job_rows: Vec::new(),
             commits: Vec::new(),
@@ -208,6 +219,10 @@
             stops_lost: false,
             holds_renewals: false,
             renewal_tokens: Vec::new(),
+            renews_by_tick: false,
+            pending_renewals: Vec::new(),
+            listings: vec![listing()],
+            unreachable: BTreeSet::new(),
         };
         harness.cell_rows = cell_rows;
         let config = Box::new(config());
@@ -243,6 +258,9 @@
                 requested_at: self.now,
             });
             self.deliver(Event::Tick);
+            for call in std::mem::take(&mut self.pending_renewals) {
+                self.answer_renewal(call);
+            }
             self.answer_job_follow();
             self.answer_cell_follow();
         }
@@ -340,6 +358,7 @@
                 let of_table = |row: &&Row| row.key.starts_with(table.prefix());
                 let rows = match (table, partition) {
                     (Table::Cell, _) => self.cell_rows.clone(),
+                    (Table::Roster, _) => self.roster_rows.clone(),
                     (_, 0) => self
                         .undivided_rows
                         .iter()
@@ -365,7 +384,14 @@
                 Table::Job => self.job_follow_call = Some(call),
                 _ => self.cell_follow_call = Some(call),
             },
-            Effect::WatchServers(true) => self.deliver(Event::ServersListed(vec![listing()])),
+            Effect::WatchServers(true) => {
+                self.deliver(Event::ServersListed(self.listings.clone()));
+            }
+            Effect::Order { call, server, .. } if self.unreachable.contains(&server) => {
+                self.now += TICK;
+                let result = Err(OrderError::Lost);
+                self.deliver(Event::OrderAnswered { call, result });
+            }
             Effect::Order { call, order, .. } if matches!(*order, Order::Start { .. }) => {
                 if let Order::Start { run, .. } = *order {
                     self.starts.push(run.number);
@@ -392,15 +418,13 @@
                 call, order, token, ..
             } if matches!(*order, Order::RenewLease { .. }) => {
                 self.renewal_tokens.push(token);
-                let lists = RunLists {
-                    clock: self.now.as_millis() as u64,
-                    incarnation: Some(self.incarnation),
-                    running: self.running.clone(),
-                    ..RunLists::default()
-                };
-                self.now += TICK;
-                let result = Ok(OrderResponse::Lists(Box::new(lists)));
-                self.deliver(Event::OrderAnswered { call, result });
+                match self.renews_by_tick {
+                    true => self.pending_renewals.push(call),
+                    false => {
+                        self.now += TICK;
+                        self.answer_renewal(call);
+                    }
+                }
             }
             Effect::QueryPolicy { call, query } => self.policy_calls.push((call, query.step.0)),
             Effect::Log(notice) => self.notices.push(notice),
@@ -408,6 +432,17 @@
         }
     }
 
+    fn answer_renewal(&mut self, call: CallId) {
+        let lists = RunLists {
+            clock: self.now.as_millis() as u64,
+            incarnation: Some(self.incarnation),
+            running: self.running.clone(),
+            ..RunLists::default()
+        };
+        let result = Ok(OrderResponse::Lists(Box::new(lists)));
+        self.deliver(Event::OrderAnswered { call, result });
+    }
+
     fn is_down(&self, partition: PartitionId) -> bool {
         match partition {
             0 => self.store_down || self.cell_partition_down,
@@ -421,6 +456,9 @@
     fn store_row(&mut self, row: Row) {
         if row.key.starts_with("job/") {
             self.accepted.push(row);
+        } else if row.key.starts_with("roster/") {
+            self.roster_rows.retain(|known| known.key != row.key);
+            self.roster_rows.push(row);
         } else if row.key.starts_with("cell/") {
             self.cell_rows.retain(|known| known.key != row.key);
             self.cell_rows.push(row);
@@ -970,9 +1008,76 @@
     });
     let mut successor = Harness::new("follower", 0.25, owner.cell_rows.clone());
     successor.job_rows = rows.collect();
+    successor.roster_rows = owner.roster_rows.clone();
     successor
 }
 
+/// Three backend servers of one service, the last of which holds the only run of
+/// the job that was submitted.
+fn owner_with_run_on_last_of_three() -> Harness {
+    let mut owner = Harness::new("owner", 0.25, Vec::new());
+    owner.listings = ["one", "two", "last"].map(named_listing).into();
+    owner.renews_by_tick = true;
+    owner.starts_lost = true;
+    owner.stops_lost = true;
+    owner.advance(Duration::from_secs(1));
+    owner.submit("0000000000000001");
+    owner.advance(Duration::from_millis(100));
+    owner.answer_policy(vec![("last".into(), "ticket".into())]);
+    owner.advance(Duration::from_secs(1));
+    assert_eq!(owner.starts.len(), 1, "{:?}", owner.notices);
+    owner
+}
+
+fn named_listing(id: &str) -> Listing {
+    Listing {
+        id: id.into(),
+        address: id.into(),
+        ..listing()
+    }
+}
+
+/// Answers queries to the external admission policy with tickets for these backend
+/// servers, until `time` has passed.
+fn grant_for(harness: &mut Harness, servers: &[&str], time: Duration) {
+    let tickets = servers
+        .iter()
+        .map(|id| (Name::from(*id), Name::from("ticket")));
+    let tickets: Vec<(Name, Name)> = tickets.collect();
+    let until = harness.now + time;
+    while harness.now < until {
+        harness.advance(TICK);
+        harness.answer_policy(tickets.clone());
+    }
+}
+
+/// Guards against a task that runs twice after a long recovery. A predecessor that a
+/// majority of the backend servers answers goes on after the claim, until the
+/// successor has reached a majority, so its leases count from then and not from the
+/// claim.
+#[test]
+fn leases_of_a_predecessor_outlast_a_recovery_that_takes_long() {
+    let owner = owner_with_run_on_last_of_three();
+    let mut successor = successor_of(&owner);
+    successor.listings = owner.listings.clone();
+    successor.renews_by_tick = true;
+    successor.unreachable.insert("last".into());
+    successor.partition_down = Some(1);
+    successor.advance(Duration::from_secs(13));
+    assert!(successor.node.is_owner());
+    successor.partition_down = None;
+
+    grant_for(&mut successor, &["one", "two"], Duration::from_secs(4));
+    let while_leased = successor.starts.len();
+    grant_for(&mut successor, &["one", "two"], Duration::from_secs(6));
+
+    assert_eq!(while_leased, 0, "the predecessor may still have renewed");
+    assert!(
+        !successor.starts.is_empty(),
+        "started once all leases ended"
+    );
+}
+
 /// Keys of the rows that were logged as malformed, in ascending order.
 fn malformed_keys(harness: &Harness) -> Vec<&str> {
     let notices = harness.notices.iter();
