Use the ends in responses that are no longer waited for

When a stop order is acknowledged, the owner asks for the backend server's lists at once and forgets the renewal that the server holds. The response to that renewal was dropped, and so was every response of an incarnation that counted as ended. If the server left before it answered the next request, the end was never handled: the run counted as lost, and the task started again.

The ends in such a response are now handled; a run cannot un-end, so their age does not matter. What the response says is running is not used, since a later list may have been handled already.

--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -134,15 +134,12 @@
         cx: &mut Cx<'_>,
     ) {
         let server = self.fleet.get_mut(ix);
-        let Some(renewal) = server.renewal.take_if(|renewal| renewal.call == call) else {
-            self.log_unused_lists(ix, &result, "a later renewal was sent", cx);
+        let ended = server.state == ServerState::Ended;
+        let current = server.renewal.take_if(|renewal| renewal.call == call);
+        let Some(renewal) = current.filter(|_| !ended) else {
+            self.late_renewal_answered(ix, &result, cx);
             return;
         };
-        if server.state == ServerState::Ended {
-            // The incarnation terminated while the renewal was in flight.
-            self.log_unused_lists(ix, &result, "the incarnation counts as ended", cx);
-            return;
-        }
         let timing = &cx.settings.timing;
         match result {
             Ok(OrderResponse::Lists(lists)) => {
@@ -169,19 +166,26 @@
         }
     }
 
-    fn log_unused_lists(
-        &self,
+    /// Handles the response to a renewal that this owner no longer waits for, because
+    /// it has requested the lists again or the incarnation counts as ended. The ends in
+    /// it are facts whenever it was made; what was running then may have ended since.
+    fn late_renewal_answered(
+        &mut self,
         ix: ServerIx,
         result: &Result<OrderResponse, OrderError>,
-        why: &str,
         cx: &mut Cx<'_>,
     ) {
-        if let Ok(OrderResponse::Lists(lists)) = result {
-            cx.log(Notice::ListsUnused {
-                server: self.fleet.get(ix).listing.id.clone(),
+        let Ok(OrderResponse::Lists(lists)) = result else {
+            return;
+        };
+        let listing = &self.fleet.get(ix).listing;
+        match lists.incarnation {
+            Some(other) if other != listing.incarnation => cx.log(Notice::ListsUnused {
+                server: listing.id.clone(),
+                incarnation: other,
                 ends: lists.finished.len() as u32,
-                why: why.into(),
-            });
+            }),
+            _ => self.process_ends(ix, lists, cx),
         }
     }
 
@@ -225,9 +229,7 @@
         server.unresponsive = false;
         let first = server.state == ServerState::InRoster;
         server.state = ServerState::Held;
-        for finished in &lists.finished {
-            self.process_listed_end(ix, finished, cx);
-        }
+        self.process_ends(ix, lists, cx);
         self.process_running(ix, lists, sent_at, cx);
         if first {
             self.server_held(ix, lists, sent_at, cx);
@@ -253,6 +255,12 @@
         self.mark_inherited_terminal_jobs();
     }
 
+    fn process_ends(&mut self, ix: ServerIx, lists: &RunLists, cx: &mut Cx<'_>) {
+        for finished in &lists.finished {
+            self.process_listed_end(ix, finished, cx);
+        }
+    }
+
     fn process_listed_end(&mut self, ix: ServerIx, finished: &Finished, cx: &mut Cx<'_>) {
         let server = self.fleet.get_mut(ix);
         if finished.number > server.processed_end {
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -125,8 +125,13 @@
     },
     /// All runs on a backend server count as ended, without a report from it.
     ServerLost { server: Name, runs: u32, why: Name },
-    /// A response of a backend server with its lists was not used.
-    ListsUnused { server: Name, ends: u32, why: Name },
+    /// Lists of another incarnation than the renewal was sent to were not used, since
+    /// this owner no longer waited for them.
+    ListsUnused {
+        server: Name,
+        incarnation: u64,
+        ends: u32,
+    },
     /// A backend server started draining.
     ServerLeaving { server: Name, runs: u32 },
     /// A backend server failed tasks of several jobs and gets no new work for a
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -8,14 +8,14 @@
 use arbtest::arbtest;
 use bytes::Bytes;
 use model::{
-    Attempt, Cell, Epoch, Graph, JobId, Name, Resources, Row, RunKey, Step, TaskId, Transaction,
-    key,
+    Attempt, Cell, Epoch, Graph, JobId, Name, Resources, Row, RunKey, RunOutcome, Step, TaskId,
+    Transaction, key,
 };
 use sched::{
-    AdmissionPolicy, ApiRequest, CallId, ChangeFeed, Config, Effect, Event, Layout, Listing, Node,
-    Notice, Offer, OfferResponse, Order, OrderError, OrderResponse, PartitionId, PolicyDecision,
-    Progress, Queue, Rejection, Reply, RequestKind, RunLists, Service, Settings, StoreError,
-    StoreResponse, Table, Team, Time, Timing,
+    AdmissionPolicy, ApiRequest, CallId, ChangeFeed, Config, Effect, Event, Finished, Layout,
+    Listing, Node, Notice, Offer, OfferResponse, Order, OrderError, OrderResponse, PartitionId,
+    PolicyDecision, Progress, Queue, Rejection, Reply, RequestKind, RunLists, Service, Settings,
+    StoreError, StoreResponse, Table, Team, Time, Timing,
 };
 
 /// Time after which a write counts as lost whose connection was reset.
@@ -36,7 +36,7 @@
     }
 }
 
-/// One queue whose steps need admission by the external policy. The latency
+/// One queue whose steps need admission by the external policy, and one without. The latency
 /// objective of its jobs is 1 s: the target of 900 ms plus the estimate of 100 ms.
 /// Three times that after submission, a job has no value left and ranks last.
 fn config() -> Config {
@@ -56,6 +56,12 @@
             ticket_validity: Duration::from_secs(2),
         }),
     };
+    let plain = Queue {
+        name: "plain".into(),
+        path_prefix: "/plain/".into(),
+        admission: None,
+        ..queue.clone()
+    };
     let team = Team {
         name: "team".into(),
         key_hashes: vec![key::hash("key")],
@@ -66,7 +72,7 @@
         name: "service".into(),
         standby: false,
     };
-    Config::new(1, vec![queue], vec![service], vec![team])
+    Config::new(1, vec![queue, plain], vec![service], vec![team])
 }
 
 fn listing() -> Listing {
@@ -132,7 +138,7 @@
     job_scans: Vec<PartitionId>,
     /// Incarnation of the backend server, which its lists name.
     incarnation: u64,
-    /// Runs that the backend server lists as running.
+    /// Runs that the backend server `server` lists as running.
     running: Vec<Progress>,
     /// Latency of a write; writes with a shorter timeout have an unknown outcome.
     store_latency: Duration,
@@ -148,6 +154,10 @@
     starts: Vec<Attempt>,
     /// Whether start orders get no response, instead of a rejection.
     starts_lost: bool,
+    /// Whether start orders are executed, instead of a rejection.
+    starts_run: bool,
+    /// Runs of the start orders.
+    started: Vec<RunKey>,
     /// Whether stop orders get no response, instead of an acknowledgement.
     stops_lost: bool,
     /// Whether the backend server holds lease renewals that allow it.
@@ -156,8 +166,10 @@
     renewal_tokens: Vec<Epoch>,
     /// Whether lease renewals are answered at the next tick instead of at once.
     renews_by_tick: bool,
-    /// Lease renewals that are answered at the next tick.
-    pending_renewals: Vec<CallId>,
+    /// Lease renewals that are answered at the next tick, with their backend server.
+    pending_renewals: Vec<(CallId, Name)>,
+    /// Lease renewals that are held, with their backend server.
+    held_renewals: Vec<(CallId, Name)>,
     /// The registry's entries when a node begins to watch it.
     listings: Vec<Listing>,
     /// Backend servers whose responses to orders are lost.
@@ -216,11 +228,14 @@
             replies: Vec::new(),
             starts: Vec::new(),
             starts_lost: false,
+            starts_run: false,
+            started: Vec::new(),
             stops_lost: false,
             holds_renewals: false,
             renewal_tokens: Vec::new(),
             renews_by_tick: false,
             pending_renewals: Vec::new(),
+            held_renewals: Vec::new(),
             listings: vec![listing()],
             unreachable: BTreeSet::new(),
         };
@@ -258,8 +273,8 @@
                 requested_at: self.now,
             });
             self.deliver(Event::Tick);
-            for call in std::mem::take(&mut self.pending_renewals) {
-                self.answer_renewal(call);
+            for (call, server) in std::mem::take(&mut self.pending_renewals) {
+                self.answer_renewal(call, &server, Vec::new());
             }
             self.answer_job_follow();
             self.answer_cell_follow();
@@ -392,37 +407,56 @@
                 let result = Err(OrderError::Lost);
                 self.deliver(Event::OrderAnswered { call, result });
             }
-            Effect::Order { call, order, .. } if matches!(*order, Order::Start { .. }) => {
+            Effect::Order {
+                call,
+                order,
+                server,
+                ..
+            } if matches!(*order, Order::Start { .. }) => {
                 if let Order::Start { run, .. } = *order {
                     self.starts.push(run.number);
+                    self.started.push(run.clone());
+                    if self.starts_run && server == "server" {
+                        self.running.push(progress(run));
+                    }
                 }
-                let result = match self.starts_lost {
-                    true => Err(OrderError::Lost),
-                    false => Ok(OrderResponse::Rejected(Rejection::NoRoom)),
+                let result = match () {
+                    () if self.starts_run => Ok(OrderResponse::Done(self.clock())),
+                    () if self.starts_lost => Err(OrderError::Lost),
+                    () => Ok(OrderResponse::Rejected(Rejection::NoRoom)),
                 };
                 self.deliver(Event::OrderAnswered { call, result });
             }
             Effect::Order { call, order, .. } if matches!(*order, Order::Stop { .. }) => {
-                let clock = self.now.as_millis() as u64;
                 let result = match self.stops_lost {
                     true => Err(OrderError::Lost),
-                    false => Ok(OrderResponse::Done(clock)),
+                    false => Ok(OrderResponse::Done(self.clock())),
                 };
                 self.deliver(Event::OrderAnswered { call, result });
             }
-            Effect::Order { order, .. }
-                if self.holds_renewals
-                    && matches!(*order, Order::RenewLease { max_wait, .. } if !max_wait.is_zero()) =>
-                {}
             Effect::Order {
-                call, order, token, ..
+                call,
+                server,
+                order,
+                ..
+            } if self.holds_renewals
+                && matches!(*order, Order::RenewLease { max_wait, .. } if !max_wait.is_zero()) =>
+            {
+                self.held_renewals.push((call, server));
+            }
+            Effect::Order {
+                call,
+                server,
+                order,
+                token,
+                ..
             } if matches!(*order, Order::RenewLease { .. }) => {
                 self.renewal_tokens.push(token);
                 match self.renews_by_tick {
-                    true => self.pending_renewals.push(call),
+                    true => self.pending_renewals.push((call, server)),
                     false => {
                         self.now += TICK;
-                        self.answer_renewal(call);
+                        self.answer_renewal(call, &server, Vec::new());
                     }
                 }
             }
@@ -432,17 +466,26 @@
         }
     }
 
-    fn answer_renewal(&mut self, call: CallId) {
+    fn answer_renewal(&mut self, call: CallId, server: &str, finished: Vec<Finished>) {
+        let running = match server {
+            "server" => self.running.clone(),
+            _ => Vec::new(),
+        };
         let lists = RunLists {
-            clock: self.now.as_millis() as u64,
+            clock: self.clock(),
             incarnation: Some(self.incarnation),
-            running: self.running.clone(),
-            ..RunLists::default()
+            running,
+            finished,
         };
         let result = Ok(OrderResponse::Lists(Box::new(lists)));
         self.deliver(Event::OrderAnswered { call, result });
     }
 
+    /// Clock of the backend servers.
+    fn clock(&self) -> u64 {
+        self.now.as_millis() as u64
+    }
+
     fn is_down(&self, partition: PartitionId) -> bool {
         match partition {
             0 => self.store_down || self.cell_partition_down,
@@ -485,9 +528,18 @@
     }
 
     fn submit_graph(&mut self, id: &str, graph: Graph) {
+        self.submit_to(&format!("/queue/{id}"), graph);
+    }
+
+    /// Submits a job that needs no admission by the external policy.
+    fn submit_plain(&mut self, id: &str) {
+        self.submit_to(&format!("/plain/{id}"), graph());
+    }
+
+    fn submit_to(&mut self, path: &str, graph: Graph) {
         let request = ApiRequest {
             host: "host".into(),
-            path: format!("/queue/{id}").into(),
+            path: path.into(),
             key: Some(key::hash("key")),
             kind: RequestKind::Submit(Box::new(graph)),
         };
@@ -911,26 +963,89 @@
     assert!(harness.starts.len() > 1, "started again after the stop");
 }
 
-/// Pattern: an owner finds a run that an earlier one ordered. A successor that can't
-/// reach that backend server knows of it only by the record.
-#[test]
-fn heartbeats_say_that_a_found_run_is_not_recorded_yet() {
-    let mut harness = Harness::owning(0.25);
-    harness.submit("0000000000000001");
-    harness.advance(Duration::from_millis(100));
-    harness.job_partitions_down = true;
+/// A run of the only task of a job.
+fn run_of(job: &str) -> RunKey {
     let task = TaskId {
-        job: "0000000000000001".into(),
+        job: job.into(),
         occurrence: 0,
         step: 0,
         index: 0,
     };
-    harness.running.push(Progress {
-        run: RunKey { task, number: 5 },
+    RunKey { task, number: 5 }
+}
+
+fn progress(run: RunKey) -> Progress {
+    Progress {
+        run,
         checkpoint: Name::default(),
         percent: 50,
         gauge: 0,
-    });
+    }
+}
+
+/// An owner whose backend server `server` runs job 1. Since a start of job 2 there was
+/// lost and stopped, the owner has asked for the lists again, which got no answer, and
+/// no longer waits for the renewal that the server holds.
+fn owner_that_requested_lists_again() -> Harness {
+    let mut harness = Harness::new("owner", 0.25, Vec::new());
+    harness.renews_by_tick = true;
+    harness.advance(Duration::from_secs(1));
+    harness.starts_run = true;
+    harness.submit_plain("0000000000000001");
+    harness.advance(Duration::from_millis(100));
+    harness.holds_renewals = true;
+    harness.advance(Duration::from_millis(100));
+    harness.starts_run = false;
+    harness.starts_lost = true;
+    harness.submit_plain("0000000000000002");
+    harness.advance(TICK);
+    harness.unreachable.insert("server".into());
+    harness.pending_renewals.clear();
+    harness.holds_renewals = false;
+    harness.starts_run = true;
+    harness
+}
+
+/// Guards against a task that starts again after its end was listed. The response to a
+/// renewal that the owner no longer waits for lists the end, and the backend server is
+/// not heard of again.
+#[test]
+fn an_end_in_the_response_to_an_earlier_renewal_is_not_lost() {
+    let mut harness = owner_that_requested_lists_again();
+    let (call, server) = harness.held_renewals.pop().expect("a held renewal");
+    let end = Finished {
+        number: 1,
+        run: harness.started[0].clone(),
+        outcome: RunOutcome::Completed,
+        checkpoint: Name::default(),
+    };
+    harness.running.clear();
+    harness.answer_renewal(call, &server, vec![end]);
+    harness.deliver(Event::ServerUnlisted("server".into()));
+    harness.deliver(Event::ServerListed(named_listing("other")));
+
+    harness.advance(Duration::from_secs(14));
+
+    let starts_of = |job: &str| {
+        let runs = harness.started.iter();
+        runs.filter(|run| run.task.job == job).count()
+    };
+    assert_eq!(starts_of("0000000000000001"), 1);
+    assert!(
+        starts_of("0000000000000002") > 1,
+        "runs there were given up"
+    );
+}
+
+/// Pattern: an owner finds a run that an earlier one ordered. A successor that can't
+/// reach that backend server knows of it only by the record.
+#[test]
+fn heartbeats_say_that_a_found_run_is_not_recorded_yet() {
+    let mut harness = Harness::owning(0.25);
+    harness.submit("0000000000000001");
+    harness.advance(Duration::from_millis(100));
+    harness.job_partitions_down = true;
+    harness.running.push(progress(run_of("0000000000000001")));
     harness.advance(Duration::from_secs(1));
     let flag_before = recorded_flags(&harness).last().copied();
 
