Use a backend server again that is back in the registry

A backend server that was cut off from the table service and the owner for some 10 s was never called again in that owner's term: its room stayed empty while tasks waited, and the ends of its runs were not acknowledged.

Once its leases had expired, it counted as terminated, like an incarnation that was replaced. A registry entry for the same incarnation updated the listing and left the state as it was.

Such a server is now `GivenUp`, a state of its own. When the registry lists it again, it goes through the roster like a new one.

The test fails without the change (no start within 1 s, one backend server).

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -38,10 +38,23 @@
     InRoster,
     /// Has answered in this owner's epoch, and rejects orders of earlier ones.
     Held,
+    /// Left the registry and does not answer; nothing can be executing there. It is
+    /// used again if the registry lists it again.
+    GivenUp,
     /// The incarnation has terminated.
     Ended,
 }
 
+impl ServerState {
+    /// True when orders may still be sent to the incarnation.
+    pub(crate) const fn is_live(self) -> bool {
+        match self {
+            Self::Discovered | Self::InRoster | Self::Held => true,
+            Self::GivenUp | Self::Ended => false,
+        }
+    }
+}
+
 /// A lease renewal in flight.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RenewalCall {
@@ -270,10 +283,10 @@
         }
     }
 
-    /// Indices of the incarnations that have not terminated.
+    /// Indices of the incarnations that were neither given up nor have terminated.
     pub(crate) fn live(&self) -> impl Iterator<Item = ServerIx> + '_ {
         let all = self.servers.iter().enumerate();
-        all.filter(|(_, server)| server.state != ServerState::Ended)
+        all.filter(|(_, server)| server.state.is_live())
             .map(|(ix, _)| ix as ServerIx)
     }
 }
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -134,9 +134,9 @@
         cx: &mut Cx<'_>,
     ) {
         let server = self.fleet.get_mut(ix);
-        let ended = server.state == ServerState::Ended;
+        let live = server.state.is_live();
         let current = server.renewal.take_if(|renewal| renewal.call == call);
-        let Some(renewal) = current.filter(|_| !ended) else {
+        let Some(renewal) = current.filter(|_| live) else {
             self.late_renewal_answered(ix, &result, cx);
             return;
         };
@@ -167,7 +167,7 @@
     }
 
     /// Handles the response to a renewal that this owner no longer waits for, because
-    /// it has requested the lists again or the incarnation counts as ended. The ends in
+    /// it has requested the lists again or no longer uses the incarnation. The ends in
     /// it are facts whenever it was made; what was running then may have ended since.
     fn late_renewal_answered(
         &mut self,
@@ -469,7 +469,8 @@
             if expired && !server.runs.is_empty() {
                 self.end_runs_on(ix, "leases expired", cx);
             } else if expired && unresponsive && unused && !server.listed {
-                self.incarnation_ended(ix, "no longer in the registry and not answering", cx);
+                let why = "no longer in the registry and not answering";
+                self.retire_server(ix, ServerState::GivenUp, why, cx);
             }
         }
     }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -280,6 +280,10 @@
         server.listing = listing;
         server.listed = true;
         server.unlisted_at = None;
+        if server.state == ServerState::GivenUp {
+            server.state = ServerState::Discovered;
+            self.roster.mark_changed(&server.listing.id);
+        }
         if starts_draining {
             let notice = Notice::ServerLeaving {
                 server: server.listing.id.clone(),
@@ -301,12 +305,23 @@
 
     /// Marks an incarnation as ended, together with all its runs.
     pub(crate) fn incarnation_ended(&mut self, ix: ServerIx, why: &str, cx: &mut Cx<'_>) {
+        self.retire_server(ix, ServerState::Ended, why, cx);
+    }
+
+    /// Moves an incarnation to a state in which it is not used, and ends all its runs.
+    pub(crate) fn retire_server(
+        &mut self,
+        ix: ServerIx,
+        state: ServerState,
+        why: &str,
+        cx: &mut Cx<'_>,
+    ) {
         if self.fleet.get(ix).state == ServerState::Ended {
             return;
         }
         self.end_runs_on(ix, why, cx);
         let server = self.fleet.get_mut(ix);
-        server.state = ServerState::Ended;
+        server.state = state;
         server.listed = false;
         server.inherited = false;
         self.mark_inherited_terminal_jobs();
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -597,7 +597,7 @@
         for server in inherited {
             let fenced = match server.state {
                 ServerState::Held | ServerState::Ended => true,
-                ServerState::Discovered | ServerState::InRoster => {
+                ServerState::Discovered | ServerState::InRoster | ServerState::GivenUp => {
                     server.is_gone(&cx.settings.timing, cx.now())
                 }
             };
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -1037,6 +1037,26 @@
     );
 }
 
+/// Guards against a backend server that stands idle for the rest of a term. It was cut
+/// off for so long that its entry left the registry and the owner gave it up, and is
+/// back as the same incarnation.
+#[test]
+fn a_backend_server_that_is_back_in_the_registry_is_used_again() {
+    let mut harness = Harness::new("owner", 0.25, Vec::new());
+    harness.renews_by_tick = true;
+    harness.advance(Duration::from_secs(1));
+    harness.unreachable.insert("server".into());
+    harness.deliver(Event::ServerUnlisted("server".into()));
+    harness.advance(Duration::from_secs(12));
+
+    harness.unreachable.clear();
+    harness.deliver(Event::ServerListed(listing()));
+    harness.submit_plain("0000000000000001");
+    harness.advance(Duration::from_secs(1));
+
+    assert!(!harness.starts.is_empty(), "{:?}", harness.notices);
+}
+
 /// Pattern: an owner finds a run that an earlier one ordered. A successor that can't
 /// reach that backend server knows of it only by the record.
 #[test]
