Let leases expire only after a write confirmed since

One task could run twice while two owners are valid: an owner without the table service goes on by a majority of the backend servers, and a successor holds the others and renews their leases. The first owner counted leases from its own renewals only, gave up the runs on servers that no longer answered it, and started their tasks again.

A lease now counts as expired only if a write of the term that was sent after its end has been confirmed, so that no successor can have claimed before. The same holds for the end of the orders of earlier owners. With the table service in reach this takes at most one heartbeat longer. Without it, tasks on servers that stopped answering wait until it is back; all others go on.

--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -463,7 +463,9 @@
         let live: Vec<ServerIx> = self.fleet.live().collect();
         for ix in live {
             let server = self.fleet.get(ix);
-            let expired = self.leases_expire_at(ix).is_some_and(|at| now >= at);
+            // Without a write confirmed since, a successor may have renewed them.
+            let certain = |at| now >= at && cx.term.confirmed_at >= at;
+            let expired = self.leases_expire_at(ix).is_some_and(certain);
             let unresponsive = now >= server.last_answer_at + cx.settings.timing.server_timeout;
             let unused = server.runs.is_empty() && !server.inherited;
             if expired && !server.runs.is_empty() {
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -623,7 +623,9 @@
                 unreached: inherited.len() as u32,
             });
         }
-        if !self.recovery.may_have_prior_orders(cx.now()) {
+        // Without a write confirmed since, a successor may keep runs alive.
+        let ended = |until| cx.now() >= until && cx.term.confirmed_at >= until;
+        if self.recovery.prior_orders_until.is_some_and(ended) {
             for ix in inherited {
                 self.fleet.get_mut(ix).inherited = false;
             }
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -1037,6 +1037,45 @@
     );
 }
 
+/// An owner with the backend servers `server`, which runs job 1, `one` and `two`. The
+/// first can't be reached any more.
+fn owner_cut_off_from_a_run() -> Harness {
+    let mut harness = Harness::new("owner", 0.25, Vec::new());
+    harness.renews_by_tick = true;
+    harness.advance(Duration::from_secs(1));
+    harness.starts_run = true;
+    harness.submit_plain("0000000000000001");
+    harness.advance(Duration::from_millis(500));
+    for id in ["one", "two"] {
+        harness.deliver(Event::ServerListed(named_listing(id)));
+    }
+    harness.advance(Duration::from_millis(500));
+    harness.unreachable.insert("server".into());
+    harness
+}
+
+/// Guards against a task that runs twice while two owners are valid. An owner without
+/// a confirmed write goes on with a majority of the backend servers. A successor may
+/// have reached the others and renew their leases, so their runs count until a write
+/// is confirmed again.
+#[test]
+fn leases_that_a_successor_may_renew_do_not_expire() {
+    let mut harness = owner_cut_off_from_a_run();
+    harness.store_down = true;
+
+    harness.advance(Duration::from_secs(15));
+    let unconfirmed = harness.starts.len();
+    harness.store_down = false;
+    harness.advance(Duration::from_secs(2));
+
+    assert!(harness.node.is_owner());
+    assert_eq!(
+        unconfirmed, 1,
+        "started again while another owner may exist"
+    );
+    assert!(harness.starts.len() > 1, "started again once confirmed");
+}
+
 /// Guards against a backend server that stands idle for the rest of a term. It was cut
 /// off for so long that its entry left the registry and the owner gave it up, and is
 /// back as the same incarnation.
