Keep unanswered starts past their lease while the server is listed

A task could run twice: a start order that got no answer may be executed seconds later, also by the next incarnation of a backend server that restarted unseen. There the end of the lease is on another clock and cut to the longest lease from arrival on, beyond the end that the owner counted for the earlier incarnation. The owner gave the run up at that end and started the task again elsewhere.

Runs that the server is known to have received end with their lease as before.

The simulation lost changes of the registry to a VM that could not reach the table service just then; the platform's feed delivers them later. It now repeats them, or a server that is lost during an outage would never leave.

--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -456,6 +456,22 @@
         }
     }
 
+    /// Runs that can't be executing once the leases on their backend server have
+    /// expired. An unanswered start order may still be executed by the next
+    /// incarnation, under a lease from then on, unless the server has left.
+    fn lapsed_runs(&self, ix: ServerIx, cx: &Cx<'_>) -> Vec<RunRef> {
+        let server = self.fleet.get(ix);
+        let gone = server.is_gone(&cx.settings.timing, cx.now());
+        let is_received = |run: &&RunRef| {
+            let placed = self.ledger.runs.get(run);
+            placed.is_none_or(|p| p.confirmed || p.state == RunState::Planned)
+        };
+        let runs = server.runs.iter();
+        runs.filter(|run| gone || is_received(run))
+            .copied()
+            .collect()
+    }
+
     /// Discards the runs of backend servers whose leases have certainly expired,
     /// and removes unresponsive backend servers that left the registry.
     pub(crate) fn expire_servers(&mut self, cx: &mut Cx<'_>) {
@@ -468,8 +484,12 @@
             let expired = self.leases_expire_at(ix).is_some_and(certain);
             let unresponsive = now >= server.last_answer_at + cx.settings.timing.server_timeout;
             let unused = server.runs.is_empty() && !server.inherited;
-            if expired && !server.runs.is_empty() {
-                self.end_runs_on(ix, "leases expired", cx);
+            let lapsed = match expired {
+                true => self.lapsed_runs(ix, cx),
+                false => Vec::new(),
+            };
+            if !lapsed.is_empty() {
+                self.end_runs(ix, lapsed, "leases expired", cx);
             } else if expired && unresponsive && unused && !server.listed {
                 let why = "no longer in the registry and not answering";
                 self.retire_server(ix, ServerState::GivenUp, why, cx);
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -319,7 +319,8 @@
         if self.fleet.get(ix).state == ServerState::Ended {
             return;
         }
-        self.end_runs_on(ix, why, cx);
+        let runs = self.fleet.get(ix).runs.iter().copied().collect();
+        self.end_runs(ix, runs, why, cx);
         let server = self.fleet.get_mut(ix);
         server.state = state;
         server.listed = false;
@@ -330,12 +331,10 @@
         self.roster.mark_changed(id);
     }
 
-    /// Ends all runs on a backend server.
-    pub(crate) fn end_runs_on(&mut self, ix: ServerIx, why: &str, cx: &mut Cx<'_>) {
-        let server = self.fleet.get(ix);
-        let runs: Vec<RunRef> = server.runs.iter().copied().collect();
+    /// Ends runs on a backend server without a report of their ends.
+    pub(crate) fn end_runs(&mut self, ix: ServerIx, runs: Vec<RunRef>, why: &str, cx: &mut Cx<'_>) {
         cx.log(Notice::ServerLost {
-            server: server.listing.id.clone(),
+            server: self.fleet.get(ix).listing.id.clone(),
             runs: runs.len() as u32,
             why: why.into(),
         });
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -1076,6 +1076,33 @@
     assert!(harness.starts.len() > 1, "started again once confirmed");
 }
 
+/// Guards against a task that runs twice after a delayed start order. A backend server
+/// that restarts unseen executes it with a lease that its own clock limits, so the end
+/// of the ordered lease proves nothing while the registry lists the server.
+#[test]
+fn an_unanswered_start_outlasts_its_lease_while_the_server_is_listed() {
+    let mut harness = Harness::new("owner", 0.25, Vec::new());
+    harness.renews_by_tick = true;
+    harness.advance(Duration::from_secs(1));
+    harness.starts_lost = true;
+    harness.stops_lost = true;
+    harness.submit_plain("0000000000000001");
+    harness.advance(Duration::from_millis(100));
+    harness.unreachable.insert("server".into());
+    harness.deliver(Event::ServerListed(named_listing("other")));
+
+    harness.advance(Duration::from_secs(10));
+    let while_listed = harness.starts.len();
+    harness.deliver(Event::ServerUnlisted("server".into()));
+    harness.advance(Duration::from_secs(4));
+
+    assert_eq!(while_listed, 1, "the order may still be executed");
+    assert!(
+        harness.starts.len() > 1,
+        "started again once the server has left"
+    );
+}
+
 /// Guards against a backend server that stands idle for the rest of a term. It was cut
 /// off for so long that its entry left the registry and the owner gave it up, and is
 /// back as the same incarnation.
--- a/crates/standin/src/graphs/world/trouble.rs
+++ b/crates/standin/src/graphs/world/trouble.rs
@@ -149,11 +149,19 @@
             true => Event::ServerListed(listing(entry)),
             false => Event::ServerUnlisted(entry.id.clone()),
         };
+        let mut missed = false;
         for vm in 0..VM_COUNT {
-            if self.vms[vm].follows_registry && self.reaches_store(vm) {
-                let process = self.vms[vm].process;
-                self.deliver_after(vm, process, NETWORK_LATENCY, event.clone());
+            match self.vms[vm].follows_registry {
+                true if self.reaches_store(vm) => {
+                    let process = self.vms[vm].process;
+                    self.deliver_after(vm, process, NETWORK_LATENCY, event.clone());
+                }
+                follows => missed |= follows,
             }
         }
+        // A VM that can't reach the table service reads the change once it can.
+        if missed {
+            self.schedule_at(self.now + CALL_TIMEOUT, Action::PublishServer(server));
+        }
     }
 }
