Count the majority of an owner by the stored roster

Two owners could be valid at the same time: without the table service an owner goes on by a majority of its backend servers, and every server that terminated left its count. With 48 servers of which 30 restart, 10 of the 18 others were a majority, while the roster that a successor reads, and counts by, lists all 48.

The majority is now counted over the servers that the stored roster lists. A terminated incarnation leaves the count when the roster is stored without it, which only a valid owner can do.

The test fails without the change: one of three servers was a majority for 5 s.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -83,6 +83,8 @@
     pub(crate) unlisted_at: Option<Duration>,
     /// True when the roster that an earlier owner stored lists it.
     pub(crate) in_inherited_roster: bool,
+    /// True while the roster as stored lists it.
+    pub(crate) in_stored_roster: bool,
     pub(crate) state: ServerState,
     /// Number of earlier incarnations of its id that this owner has seen.
     pub(crate) prior_incarnations: u64,
@@ -132,6 +134,7 @@
             listed,
             unlisted_at: None,
             in_inherited_roster: false,
+            in_stored_roster: false,
             state: ServerState::Discovered,
             prior_incarnations: 0,
             inherited: false,
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -575,15 +575,15 @@
         self.place_due = true;
     }
 
-    /// True when a majority of the backend servers in use has answered in this
-    /// owner's epoch, each within `max_age`.
+    /// True when a majority of the backend servers in the stored roster has answered in
+    /// this owner's epoch, each within `max_age`. Incarnations that have terminated count
+    /// until the roster is stored without them, since a successor counts by it.
     pub(crate) fn has_majority(&self, now: Duration, max_age: Duration) -> bool {
         let (mut reachable, mut all) = (0_usize, 0_usize);
-        for ix in self.fleet.live() {
-            let server = self.fleet.get(ix);
+        let servers = self.fleet.servers.iter();
+        for server in servers.filter(|server| server.in_stored_roster) {
             let recent = now < server.last_answer_at + max_age;
-            let used = server.state != ServerState::Discovered;
-            all += usize::from(used);
+            all += 1;
             reachable += usize::from(server.state == ServerState::Held && recent);
         }
         reachable * 2 > all || all == 0
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -126,8 +126,13 @@
             Ok(StoreResponse::Applied { clock, .. }) => {
                 cx.term.observe_store_clock(*clock, cx.now());
                 self.roster.has_undivided_row = false;
+                for server in &mut self.fleet.servers {
+                    let rewritten = write.chunks.contains(&chunk_of(&server.listing.id));
+                    server.in_stored_roster &= !rewritten;
+                }
                 for ix in write.listed {
                     let server = self.fleet.get_mut(ix);
+                    server.in_stored_roster = true;
                     if server.state == ServerState::Discovered {
                         server.state = ServerState::InRoster;
                     }
@@ -189,6 +194,7 @@
         let server = self.fleet.get_mut(ix);
         server.inherited = true;
         server.in_inherited_roster = true;
+        server.in_stored_roster = true;
         server.state = ServerState::InRoster;
     }
 }
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -174,6 +174,8 @@
     listings: Vec<Listing>,
     /// Backend servers whose responses to orders are lost.
     unreachable: BTreeSet<Name>,
+    /// Backend servers at whose address another incarnation answers.
+    replaced: BTreeSet<Name>,
 }
 
 /// True for the write with which a job is accepted.
@@ -238,6 +240,7 @@
             held_renewals: Vec::new(),
             listings: vec![listing()],
             unreachable: BTreeSet::new(),
+            replaced: BTreeSet::new(),
         };
         harness.cell_rows = cell_rows;
         let config = Box::new(config());
@@ -402,6 +405,10 @@
             Effect::WatchServers(true) => {
                 self.deliver(Event::ServersListed(self.listings.clone()));
             }
+            Effect::Order { call, server, .. } if self.replaced.contains(&server) => {
+                let result = Ok(OrderResponse::Rejected(Rejection::OtherIncarnation));
+                self.deliver(Event::OrderAnswered { call, result });
+            }
             Effect::Order { call, server, .. } if self.unreachable.contains(&server) => {
                 self.now += TICK;
                 let result = Err(OrderError::Lost);
@@ -1103,6 +1110,21 @@
     );
 }
 
+/// Guards against two owners at the same time. An owner without the table service can't
+/// change the stored roster, by which a successor counts its majority, so backend
+/// servers that have terminated since count against its own.
+#[test]
+fn terminated_servers_count_against_the_majority_until_the_roster_is_stored() {
+    let mut harness = owner_cut_off_from_a_run();
+    harness.unreachable.clear();
+    harness.store_down = true;
+    harness.replaced = ["one", "two"].map(Name::from).into();
+
+    harness.advance(Duration::from_secs(5));
+
+    assert!(!harness.node.is_owner(), "one of three is no majority");
+}
+
 /// Guards against a backend server that stands idle for the rest of a term. It was cut
 /// off for so long that its entry left the registry and the owner gave it up, and is
 /// back as the same incarnation.
