Simulation of graph jobs: faults that last, vanish, lapse and outlive

Change: six kinds of faults at the end of Fault::ALL. SilentPartitions: job partitions do not answer for 11 s. LongRecovery: the owner is shut out, its successor reads the job partitions only after 11.5 s, with a third of the backend servers unreachable then. VanishedServer: a server is gone when a successor takes over after 9 s without table service. LapsedEntries: registry entries are removed and come back with the same incarnation. HastyLeavers: a server leaves right after it has listed an end, in a response that others may overtake. OutlivingOrders: orders reach the next incarnation of a crashed server. Clients submit jobs until 4 s after the end of a long fault.

New checks: a completed run listed to an undisturbed owner is not started again 100 ms later; while the cell is calm (4 s after a fault) a job does not wait 3 s with room for it, a long-running task does not wait longer than 6 s after its last run and 3 s, and a server that is up and registered is called, and its ends acknowledged, within 4 s.

--- a/crates/standin/src/graphs/store.rs
+++ b/crates/standin/src/graphs/store.rs
@@ -10,6 +10,9 @@
 use model::{Cell, Name, Row, Transaction};
 use sched::{CallId, ChangeFeed, PartitionId, StoreError, StoreResponse, Table};
 
+/// Partition of the rows that are not of jobs.
+pub(crate) const CELL_PARTITION: PartitionId = 0;
+
 /// A pending call that follows the changes of a table.
 #[derive(Debug)]
 pub(crate) struct Waiter {
--- a/crates/standin/src/graphs/world/trouble.rs
+++ b/crates/standin/src/graphs/world/trouble.rs
@@ -10,10 +10,17 @@
 
 use crate::graphs::faults::Fault;
 use crate::graphs::world::{
-    Action, CALL_TIMEOUT, CLIENT_POLL_PERIOD, ClientCall, FAULT_SETTLE_TIME, NETWORK_LATENCY,
-    REGISTRY_LAG, STORE_SETTLE_TIME, Simulation, VM_COUNT, listing,
+    Action, CALL_TIMEOUT, CLIENT_POLL_PERIOD, CONTACT_TIME, ClientCall, FAULT_SETTLE_TIME,
+    NETWORK_LATENCY, REGISTRY_LAG, STORE_SETTLE_TIME, Simulation, VM_COUNT, listing,
 };
 
+/// Index of the backend server that crashes by [`Fault::VanishedServer`].
+const VANISHED_SERVER: usize = 8;
+/// Time from the beginning of a [`Fault::VanishedServer`] until the owner is killed.
+const KILL_DELAY: Duration = Duration::from_millis(500);
+/// Time without a heartbeat after which a registry entry is removed.
+const ENTRY_TIMEOUT: Duration = Duration::from_millis(4_500);
+
 impl Simulation {
     pub(super) fn owner_or_random_vm(&mut self) -> usize {
         let owner = (0..VM_COUNT).find(|vm| self.vms[*vm].up && self.vms[*vm].node.is_owner());
@@ -28,6 +35,13 @@
         self.faults_settled_at = self
             .faults_settled_at
             .max(self.now + fault.duration() + FAULT_SETTLE_TIME);
+        let calm_at = self.now + fault.duration() + CONTACT_TIME;
+        self.calm_at = self.calm_at.max(calm_at);
+        if !fault.is_planned() {
+            self.undisturbed_at = self.undisturbed_at.max(calm_at);
+            let since = self.now.saturating_sub(CONTACT_TIME);
+            self.checker.forget_listed_ends(since);
+        }
         if fault.affects_store() {
             let until = self.now + fault.duration() + STORE_SETTLE_TIME;
             self.store_settled_at = self.store_settled_at.max(until);
@@ -58,7 +72,33 @@
                 self.servers[1].fails_runs = true;
             }
             Fault::LeavingServers => self.drain_servers(),
-            Fault::StoreDown | Fault::StoreLost | Fault::CutServers | Fault::LateOrders => {}
+            Fault::LongRecovery => {
+                self.replaced_vm = self.owner_or_random_vm();
+                self.long_recovery_at = self.now;
+            }
+            Fault::VanishedServer => {
+                self.crash_servers(&[VANISHED_SERVER]);
+                let kill_at = self.now + KILL_DELAY;
+                self.schedule_at(kill_at, Action::KillOwner);
+            }
+            Fault::LapsedEntries => {
+                self.schedule_at(self.now + ENTRY_TIMEOUT, Action::LapseEntries);
+            }
+            Fault::HastyLeavers => self.drain_servers(),
+            Fault::OutlivingOrders => {
+                let crash_at = self.now + Duration::from_millis(400);
+                let down_for = Duration::from_millis(self.rng.u64(500..5_500));
+                self.outlived_crash = crash_at..crash_at + down_for;
+                for server in [2, 5] {
+                    self.schedule_at(crash_at, Action::CrashServer(server));
+                    self.schedule_at(crash_at + down_for, Action::RestartServer(server));
+                }
+            }
+            Fault::StoreDown
+            | Fault::StoreLost
+            | Fault::CutServers
+            | Fault::LateOrders
+            | Fault::SilentPartitions => {}
         }
     }
 
@@ -68,10 +108,19 @@
         }
         self.faults.retain(|other| *other != fault);
         match fault {
-            Fault::KillOwner | Fault::KillAll | Fault::StopOwner => self.restart_stopped_vms(),
+            Fault::KillOwner | Fault::KillAll | Fault::StopOwner | Fault::VanishedServer => {
+                self.restart_stopped_vms();
+            }
+            Fault::LapsedEntries => {
+                for server in (0..self.servers.len()).step_by(3) {
+                    self.servers[server].registered = self.servers[server].up;
+                    let publish_at = self.now + REGISTRY_LAG;
+                    self.schedule_at(publish_at, Action::PublishServer(server));
+                }
+            }
             Fault::FreezeOwner => self.vms.iter_mut().for_each(|vm| vm.suspended = false),
             Fault::GreyServers => self.servers[1].fails_runs = false,
-            Fault::CrashServers | Fault::LeavingServers => {
+            Fault::CrashServers | Fault::LeavingServers | Fault::HastyLeavers => {
                 for server in [2, 5] {
                     self.servers[server].restart(self.now);
                     self.schedule_at(self.now + REGISTRY_LAG, Action::PublishServer(server));
@@ -134,6 +183,14 @@
         }
     }
 
+    /// Removes the registry entries of the backend servers that are cut off.
+    pub(super) fn lapse_entries(&mut self) {
+        for server in (0..self.servers.len()).step_by(3) {
+            self.servers[server].registered = false;
+            self.publish_server(server);
+        }
+    }
+
     pub(super) fn drain_servers(&mut self) {
         for server in [2, 5] {
             self.servers[server].draining = true;
@@ -159,6 +216,7 @@
                 follows => missed |= follows,
             }
         }
+        self.servers[server].change_missed = missed;
         // A VM that can't reach the table service reads the change once it can.
         if missed {
             self.schedule_at(self.now + CALL_TIMEOUT, Action::PublishServer(server));
