--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -147,3 +147,53 @@
         assert_guarantees_hold(seed, faults);
     }
 }
+
+/// Guards against a successor whose recovery outlasts its bound on earlier orders,
+/// and which gave up runs on backend servers that the earlier owner still renewed.
+#[test]
+fn a_long_recovery_does_not_give_up_runs_of_an_earlier_owner_that_was_valid() {
+    for seed in [6, 19] {
+        assert_guarantees_hold(seed, &[Fault::LongRecovery]);
+    }
+}
+
+/// Guards against waiting for the leases of a backend server that is gone before
+/// any inherited task starts elsewhere.
+#[test]
+fn a_vanished_server_does_not_hold_up_inherited_jobs() {
+    for seed in [6, 12] {
+        assert_guarantees_hold(seed, &[Fault::VanishedServer]);
+    }
+}
+
+/// Guards against never calling an incarnation again that was given up and is back
+/// in the registry.
+#[test]
+fn a_server_whose_entry_lapsed_is_used_again() {
+    for seed in [1, 2] {
+        assert_guarantees_hold(seed, &[Fault::LapsedEntries]);
+    }
+}
+
+/// Guards against ignoring a new incarnation of a backend server whose former one
+/// was given up.
+#[test]
+fn a_server_that_was_given_up_is_used_after_its_restart() {
+    for seed in [4, 12] {
+        assert_guarantees_hold(seed, &[Fault::OutlivingOrders]);
+    }
+}
+
+/// Guards against starting a task again while the next incarnation of its backend
+/// server, unknown to the owner, carries out the start order.
+#[test]
+fn a_start_order_that_outlives_its_server_does_not_run_beside_another() {
+    assert_guarantees_hold(46, &[Fault::OutlivingOrders]);
+}
+
+/// Guards against an acknowledgement that was meant for one incarnation and drops
+/// unhandled ends of the next one.
+#[test]
+fn an_acknowledgement_that_outlives_its_server_does_not_drop_ends() {
+    assert_guarantees_hold(18, &[Fault::OutlivingOrders]);
+}
