Supersede acknowledgements before a start

A start and a lease renewal that acknowledges ends of one incarnation both got no answer and were executed by the next one, first the start. The run completed there, its end was dropped by the acknowledgement of a number that was meant for the earlier incarnation, and the owner found the run in no list and started the task again.

A start now carries a higher fencing token than any renewal with an acknowledgement before it. Whoever executes the start rejects the renewal. The number within the token grows with incarnations and with such starts, so it has 32 bits instead of 20; owners of earlier builds can't take over from this one.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -16,9 +16,9 @@
 use crate::partition::PartitionId;
 use crate::settings::Timing;
 
-/// Number of incarnations of one id that fencing tokens can distinguish within
-/// an epoch: more than a backend server that restarts each second has in a week.
-const INCARNATIONS_PER_EPOCH: u64 = 1 << 20;
+/// Number of fencing tokens for one backend server within an epoch: more than one that
+/// gets ten starts a second uses in ten years.
+const TOKENS_PER_EPOCH: u64 = 1 << 32;
 /// Weight of the newest sample in the moving average of a backend server's
 /// slowness.
 const SLOWNESS_EWMA_WEIGHT: f64 = 0.25;
@@ -86,8 +86,12 @@
     /// True while the roster as stored lists it.
     pub(crate) in_stored_roster: bool,
     pub(crate) state: ServerState,
-    /// Number of earlier incarnations of its id that this owner has seen.
-    pub(crate) prior_incarnations: u64,
+    /// Number of the current fencing token within the epoch. It grows with each
+    /// incarnation of the id, and with starts that must supersede earlier orders.
+    pub(crate) token_number: u64,
+    /// A renewal that acknowledges ends was sent with the current token and may still
+    /// be executed.
+    acknowledgement_pending: bool,
     /// True when it may run tasks of an earlier owner that are not yet known.
     pub(crate) inherited: bool,
     /// Last reading of its clock in ms, and the local time of its arrival.
@@ -136,7 +140,8 @@
             in_inherited_roster: false,
             in_stored_roster: false,
             state: ServerState::Discovered,
-            prior_incarnations: 0,
+            token_number: 0,
+            acknowledgement_pending: false,
             inherited: false,
             clock: None,
             max_lease_end: 0,
@@ -161,7 +166,22 @@
     /// Fencing token for orders in an epoch. It grows with each incarnation, so
     /// that a delayed order for an earlier incarnation is rejected by a later one.
     pub(crate) fn fencing_token(&self, epoch: Epoch) -> Epoch {
-        epoch * INCARNATIONS_PER_EPOCH + self.prior_incarnations.min(INCARNATIONS_PER_EPOCH - 1)
+        epoch * TOKENS_PER_EPOCH + self.token_number.min(TOKENS_PER_EPOCH - 1)
+    }
+
+    /// Notes that a renewal which acknowledges ends is being sent.
+    pub(crate) fn note_acknowledgement(&mut self) {
+        self.acknowledgement_pending = true;
+    }
+
+    /// Raises the fencing token above that of renewals whose acknowledgement may still
+    /// be executed. An incarnation that this owner does not know yet and that executes
+    /// the next start would otherwise drop its end by an acknowledgement that was
+    /// meant for its predecessor.
+    pub(crate) fn supersede_acknowledgements(&mut self) {
+        if std::mem::take(&mut self.acknowledgement_pending) {
+            self.token_number += 1;
+        }
     }
 
     /// Makes a renewal due that asks for the lists at once. A renewal in flight may be
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -111,6 +111,9 @@
             true => 0,
             false => server.acknowledged_end,
         };
+        if acknowledged > 0 {
+            server.note_acknowledgement();
+        }
         let call = *cx.last_call_id + 1;
         server.renewal = Some(RenewalCall { call, sent_at: now });
         self.send_order(
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -97,7 +97,9 @@
             placed.ordered_at = cx.now();
             placed.confirmed_at = cx.now();
         }
-        self.fleet.get_mut(server).record_lease(lease_end, timing);
+        let entry = self.fleet.get_mut(server);
+        entry.record_lease(lease_end, timing);
+        entry.supersede_acknowledgements();
         let order = Order::Start {
             run: run_id,
             payload,
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -262,8 +262,7 @@
             accounts::move_to_server(&mut self.ledger, &mut self.fleet, run, new);
             self.mark_dirty(run.task.step.job);
         }
-        let prior_incarnations = self.fleet.get(old).prior_incarnations + 1;
-        self.fleet.get_mut(new).prior_incarnations = prior_incarnations;
+        self.fleet.get_mut(new).token_number = self.fleet.get(old).token_number + 1;
         let timing = &cx.settings.timing;
         let max_lease = timing.max_lease.div_f64(timing.min_clock_rate);
         let may_have_prior_orders = self.recovery.may_have_prior_orders(cx.now());
