Keep the majority through an outage of the table service

In every outage of the table service over 3 s the owner gave up its term, though all backend servers answered it, and callers' work waited for a takeover whose records could not be trusted.

An owner without a confirmed write stays valid while a majority has answered within 0.5 s. Renewals of servers with unacknowledged ends were paused by 0.2 to 1 s, by the latency of commits, which grows in an outage; and in an outage no end can be acknowledged, so soon all servers were paused.

While no write is confirmed, these renewals now come each 250 ms, as those of idle servers do. The test fails without the change.

--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -31,8 +31,9 @@
     (Duration::from_millis(200), Duration::from_millis(1_000));
 /// Delay between renewals of an unresponsive backend server that runs nothing.
 const IDLE_SERVER_RETRY: Duration = Duration::from_millis(1_000);
-/// Long-poll time of renewals while no write is confirmed. The responses must
-/// come more often then, since they show that no successor has fenced this owner.
+/// Long-poll time of renewals while no write is confirmed, and their interval at servers
+/// with unacknowledged ends. The responses must come within `Timing::majority_max_age`
+/// then, since they show that no successor has fenced this owner.
 const UNCONFIRMED_WAIT: Duration = Duration::from_millis(250);
 /// Long-poll time of renewals of a backend server that is draining.
 const DRAINING_WAIT: Duration = Duration::from_millis(400);
@@ -43,7 +44,6 @@
         if !self.recovery.tables_loaded || !cx.term.may_order(cx.settings, cx.now()) {
             return;
         }
-        let now = cx.now();
         let commits = &self.commits;
         self.fleet
             .acknowledge(|partition, change| commits.is_written(partition, change));
@@ -54,7 +54,7 @@
                 let server = self.fleet.get(*ix);
                 server.renewal.is_none()
                     && server.state != ServerState::Discovered
-                    && self.is_renewal_due(*ix, now)
+                    && self.is_renewal_due(*ix, cx)
             })
             .collect();
         for ix in due {
@@ -65,7 +65,7 @@
     /// True when the next renewal is due. While the effects of ended runs are not yet
     /// committed, it is delayed, so that it is sent as soon as their commit is
     /// applied.
-    fn is_renewal_due(&self, ix: ServerIx, now: Duration) -> bool {
+    fn is_renewal_due(&self, ix: ServerIx, cx: &Cx<'_>) -> bool {
         let server = self.fleet.get(ix);
         let acknowledged = server.processed_end == server.acknowledged_end;
         // A server whose ends are not acknowledged answers at once, so a slow table
@@ -73,16 +73,24 @@
         let slow = self.commits.expected_latency() * 2;
         let pause = match acknowledged || server.lists_wanted {
             true => Duration::ZERO,
+            // The responses show that no successor has fenced this owner.
+            false if self.is_unconfirmed(cx) => UNCONFIRMED_WAIT,
             false => slow.clamp(UNACKNOWLEDGED_PAUSE.0, UNACKNOWLEDGED_PAUSE.1),
         };
-        now >= server.next_renewal_at + pause
+        cx.now() >= server.next_renewal_at + pause
+    }
+
+    /// True when no write was confirmed for so long that this owner asks for a
+    /// successor.
+    fn is_unconfirmed(&self, cx: &Cx<'_>) -> bool {
+        cx.now() >= cx.term.confirmed_at + cx.settings.timing.handover_after
     }
 
     fn send_renewal(&mut self, ix: ServerIx, cx: &mut Cx<'_>) {
         let now = cx.now();
         let timing = &cx.settings.timing;
         let fresh = cx.term.is_fresh(cx.settings, now);
-        let unconfirmed = now >= cx.term.confirmed_at + timing.handover_after;
+        let unconfirmed = self.is_unconfirmed(cx);
         let server = self.fleet.get_mut(ix);
         // A server that has not answered this owner may already have answered a
         // later one, so it is called only while no other VM can have claimed.
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -132,6 +132,8 @@
     cell_partition_down: bool,
     /// Whether it rejects writes to the job partitions.
     job_partitions_down: bool,
+    /// Whether writes to the job partitions get no answer.
+    job_writes_lost: bool,
     /// Job partition to which it rejects writes.
     partition_down: Option<PartitionId>,
     /// Scans of the job table, by partition.
@@ -168,6 +170,8 @@
     renews_by_tick: bool,
     /// Lease renewals that are answered at the next tick, with their backend server.
     pending_renewals: Vec<(CallId, Name)>,
+    /// Ends that the backend server `server` lists.
+    finished: Vec<Finished>,
     /// Lease renewals that are held, with their backend server.
     held_renewals: Vec<(CallId, Name)>,
     /// The registry's entries when a node begins to watch it.
@@ -219,6 +223,7 @@
             store_down: false,
             cell_partition_down: false,
             job_partitions_down: false,
+            job_writes_lost: false,
             partition_down: None,
             job_scans: Vec::new(),
             incarnation: 1,
@@ -237,6 +242,7 @@
             renewal_tokens: Vec::new(),
             renews_by_tick: false,
             pending_renewals: Vec::new(),
+            finished: Vec::new(),
             held_renewals: Vec::new(),
             listings: vec![listing()],
             unreachable: BTreeSet::new(),
@@ -277,7 +283,7 @@
             });
             self.deliver(Event::Tick);
             for (call, server) in std::mem::take(&mut self.pending_renewals) {
-                self.answer_renewal(call, &server, Vec::new());
+                self.answer_renewal(call, &server, self.finished.clone());
             }
             self.answer_job_follow();
             self.answer_cell_follow();
@@ -314,6 +320,12 @@
                 let result = Err(StoreError::Unavailable);
                 self.deliver(Event::StoreAnswered { call, result });
             }
+            Effect::Commit {
+                call, partition, ..
+            } if self.job_writes_lost && partition != 0 => {
+                let result = Err(StoreError::Unknown);
+                self.deliver(Event::StoreAnswered { call, result });
+            }
             Effect::Commit {
                 call,
                 timeout: Some(timeout),
@@ -1110,6 +1122,32 @@
     );
 }
 
+/// Guards against an owner that gives up in every outage of the table service. Renewals
+/// of servers with unacknowledged ends, which can't be acknowledged then, must come often
+/// enough for a majority.
+#[test]
+fn an_owner_keeps_its_majority_while_ends_cannot_be_acknowledged() {
+    let mut harness = Harness::new("owner", 0.25, Vec::new());
+    harness.renews_by_tick = true;
+    harness.advance(Duration::from_secs(1));
+    harness.starts_run = true;
+    harness.submit_plain("0000000000000001");
+    harness.advance(Duration::from_millis(500));
+    harness.cell_partition_down = true;
+    harness.job_writes_lost = true;
+    harness.running.clear();
+    harness.finished.push(Finished {
+        number: 1,
+        run: harness.started[0].clone(),
+        outcome: RunOutcome::Completed,
+        checkpoint: Name::default(),
+    });
+
+    harness.advance(Duration::from_secs(10));
+
+    assert!(harness.node.is_owner(), "{:?}", harness.notices);
+}
+
 /// Guards against two owners at the same time. An owner without the table service can't
 /// change the stored roster, by which a successor counts its majority, so backend
 /// servers that have terminated since count against its own.
