Read the last heartbeat before the first one replaces it

Cause: a new owner sent the scan of the cell and its first heartbeat in the same step. If the table service applied the heartbeat first, the scan returned that one instead of the previous owner's: sent by a VM that knows no run yet, it says that not everything is recorded. The records then counted as incomplete, and inherited tasks waited until the leases on every server that didn't answer had expired. A scratch copy that printed the row saw it in 5 of 31 takeovers during traffic, e.g. count 1, recorded false, row version 9518, own owner row 9513.

Change: the first heartbeat of a term is sent once the cell's rows are read, at the latest one interval (300 ms) after the term began. The claim confirms the term for that long, as any heartbeat does. A scan that takes longer still meets the new heartbeat, and then the records are not trusted, as before.

--- a/crates/sched/src/heartbeat.rs
+++ b/crates/sched/src/heartbeat.rs
@@ -46,10 +46,15 @@
 impl Owner {
     /// Sends a heartbeat, if one is due.
     pub(crate) fn send_due_heartbeat(&mut self, cx: &mut Cx<'_>) {
-        if cx.now() < self.heartbeats.next_at {
+        let interval = cx.settings.timing.heartbeat_interval;
+        // The first one replaces the previous owner's last heartbeat, which the
+        // recovery has to read. The claim confirms the term for one interval.
+        let unread = self.recovery.is_reading_cell();
+        let held_back = unread && !self.recovery.has_lasted(interval, cx.now());
+        if cx.now() < self.heartbeats.next_at || held_back {
             return;
         }
-        self.heartbeats.next_at = cx.now() + cx.settings.timing.heartbeat_interval;
+        self.heartbeats.next_at = cx.now() + interval;
         self.heartbeats.count += 1;
         // Until the jobs are loaded, the previous owner's counts are repeated.
         let pending = match self.recovery.tables_loaded {
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// True until the rows of the cell have been read.
+    pub(crate) fn is_reading_cell(&self) -> bool {
+        self.stage == Stage::Cell
+    }
+
     /// True when the term began at least `age` ago.
     pub(crate) fn has_lasted(&self, age: Duration, now: Duration) -> bool {
         now >= self.began_at + age
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -101,6 +101,16 @@
     }
 }
 
+/// When the simulated table service answers scans of the cell.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum CellScans {
+    AtOnce,
+    /// After it has applied the writes that were sent in the same step.
+    AfterWrites,
+    /// As `AfterWrites`, and never while the node is the owner.
+    LostInTerm,
+}
+
 /// The node under test, the simulated time, and the effects that are recorded
 /// instead of answered at once.
 struct Harness {
@@ -116,6 +126,10 @@
     job_follow_call: Option<CallId>,
     /// Call that waits for changes of the cell table.
     cell_follow_call: Option<CallId>,
+    /// When the table service answers scans of the cell.
+    cell_scans: CellScans,
+    /// Scan of the cell that waits.
+    cell_scan_call: Option<CallId>,
     /// Current rows of the cell table.
     cell_rows: Vec<Row>,
     /// Rows of the roster.
@@ -211,6 +225,8 @@
             accepted: Vec::new(),
             job_follow_call: None,
             cell_follow_call: None,
+            cell_scans: CellScans::AtOnce,
+            cell_scan_call: None,
             cell_rows: Vec::new(),
             roster_rows: Vec::new(),
             undivided_rows: Vec::new(),
@@ -281,6 +297,20 @@
             }
             self.answer_job_follow();
             self.answer_cell_follow();
+            self.answer_cell_scan();
+        }
+    }
+
+    fn answer_cell_scan(&mut self) {
+        let lost = self.cell_scans == CellScans::LostInTerm && self.node.is_owner();
+        if let Some(call) = self.cell_scan_call.take_if(|_| !lost) {
+            let result = Ok(StoreResponse::Rows {
+                rows: self.cell_rows.clone(),
+                more: false,
+                version: self.version,
+                clock: self.now,
+            });
+            self.deliver(Event::StoreAnswered { call, result });
         }
     }
 
@@ -364,6 +394,11 @@
                 });
                 self.deliver(Event::StoreAnswered { call, result });
             }
+            Effect::Scan {
+                call,
+                table: Table::Cell,
+                ..
+            } if self.cell_scans != CellScans::AtOnce => self.cell_scan_call = Some(call),
             Effect::Scan {
                 call,
                 partition,
@@ -943,6 +978,54 @@
     assert_eq!(flags.last(), Some(&true), "{flags:?}");
 }
 
+/// An owner of three backend servers whose records are complete.
+fn owner_of_servers() -> Harness {
+    let mut owner = Harness::new("owner", 0.25, Vec::new());
+    owner.listings = ["one", "two", "last"].map(named_listing).into();
+    owner.renews_by_tick = true;
+    owner.advance(Duration::from_secs(1));
+    owner
+}
+
+/// Failure: the first heartbeat of a term overtook the scan that reads the previous
+/// owner's. Its records then counted as incomplete, and no inherited task started
+/// until the leases on every backend server that did not answer had expired.
+#[test]
+fn a_successor_reads_the_last_heartbeat_before_it_replaces_it() {
+    let owner = owner_of_servers();
+    let last_flag = recorded_flags(&owner).last().copied();
+    let mut successor = successor_of(&owner);
+    successor.listings = owner.listings.clone();
+    successor.unreachable.insert("last".into());
+    successor.renews_by_tick = true;
+    successor.cell_scans = CellScans::AfterWrites;
+
+    successor.advance(Duration::from_secs(3));
+
+    assert!(successor.node.is_owner());
+    assert_eq!(last_flag, Some(true));
+    assert_eq!(
+        recorded_flags(&successor).last(),
+        Some(&true),
+        "the records are trusted although a server does not answer"
+    );
+}
+
+/// A scan of the cell that is never answered must not stop the heartbeats, or another
+/// VM would claim.
+#[test]
+fn heartbeats_begin_while_the_cell_cannot_be_read() {
+    let mut successor = successor_of(&owner_of_servers());
+    successor.cell_scans = CellScans::LostInTerm;
+
+    successor.advance(Duration::from_secs(3));
+
+    assert!(successor.node.is_owner());
+    let beats = recorded_flags(&successor);
+    assert!(beats.len() >= 2, "{beats:?}");
+    assert!(!beats.contains(&true), "{beats:?}");
+}
+
 /// Pattern: a backend server restarts while an order to it is on the way. The order
 /// may have reached the new incarnation, so the task must not start again before that
 /// has acknowledged a stop.
