Yield only when a successor can trust the records

Waiting work stood still for a further 8 s after backend servers were lost: an owner with a small CPU share hands over to a stronger VM, and did so while it still waited for leases on servers that did not answer, in the very step in which they expired, or before a heartbeat said that everything is recorded. The successor, often the same VM again, counted the leases from its own claim.

Runs that end without a report now change the record of their job. An owner yields once every server with runs answers, the loss of runs is written, and the last heartbeat that was applied says that all runs are recorded.

--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -158,7 +158,7 @@
     }
 
     /// The last change up to which all changes are written.
-    fn written_change(&self) -> Change {
+    pub(crate) fn written_change(&self) -> Change {
         let partitions = self.partitions.values();
         let oldest = partitions.filter_map(PartitionCommits::oldest_unwritten);
         oldest.min().map_or(self.last_change, |change| change - 1)
--- a/crates/sched/src/heartbeat.rs
+++ b/crates/sched/src/heartbeat.rs
@@ -25,8 +25,10 @@
 /// Heartbeats in flight, and what the past ones showed.
 #[derive(Debug, Default)]
 pub(crate) struct Heartbeats {
-    /// Calls in flight, with the time of sending.
-    in_flight: HashMap<CallId, Duration>,
+    /// Calls in flight, with the time of sending and whether everything was recorded.
+    in_flight: HashMap<CallId, (Duration, bool)>,
+    /// What the last one that was applied says of the records.
+    stored_as_recorded: bool,
     count: u64,
     next_at: Duration,
     /// Heartbeats that failed since the last one that was applied.
@@ -35,6 +37,13 @@
     failing_partitions: BTreeSet<PartitionId>,
 }
 
+impl Heartbeats {
+    /// True when a successor would find that the records are complete.
+    pub(crate) fn stored_as_recorded(&self) -> bool {
+        self.stored_as_recorded
+    }
+}
+
 /// The condition that this VM is the owner, for writes to the cell's partition.
 pub(crate) fn owner_condition(cx: &Cx<'_>) -> Condition {
     Condition {
@@ -73,7 +82,8 @@
                 .max(cx.settings.cpu_share),
         };
         let call = cx.next_call_id();
-        self.heartbeats.in_flight.insert(call, cx.now());
+        let sent = (cx.now(), heartbeat.recorded);
+        self.heartbeats.in_flight.insert(call, sent);
         let transaction = Transaction {
             conditions: vec![owner_condition(cx)],
             writes: vec![put(rows::HEARTBEAT_KEY.into(), rows::encode(&heartbeat))],
@@ -94,7 +104,7 @@
         result: &Result<StoreResponse, StoreError>,
         cx: &mut Cx<'_>,
     ) -> bool {
-        let Some(sent_at) = self.heartbeats.in_flight.remove(&call) else {
+        let Some((sent_at, recorded)) = self.heartbeats.in_flight.remove(&call) else {
             return false;
         };
         match result {
@@ -102,6 +112,7 @@
                 cx.term.confirm(sent_at);
                 cx.term.observe_store_clock(*clock, cx.now());
                 self.heartbeats.failed = 0;
+                self.heartbeats.stored_as_recorded = recorded;
                 self.place_due = true;
                 self.update_store_availability(CELL_PARTITION, None, cx);
             }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -11,7 +11,7 @@
 
 use crate::accounts::{self, Accounts};
 use crate::advice::PolicyDispatcher;
-use crate::commit::Commits;
+use crate::commit::{Change, Commits};
 use crate::config::Config;
 use crate::divide::Division;
 use crate::event::{CallId, Effect, Listing, Order, OrderError, OrderResponse, Rejection, Time};
@@ -102,6 +102,8 @@
     pub(crate) next_summary_at: Duration,
     /// Steps with tasks to start, as of the last placement pass.
     pub(crate) waiting_steps: u32,
+    /// Last change by which runs counted as ended without a report.
+    last_loss: Change,
     /// The current lack of confirmed writes was logged.
     unconfirmed_logged: bool,
 }
@@ -134,6 +136,7 @@
             next_sweep_at: Duration::ZERO,
             next_summary_at: Duration::ZERO,
             waiting_steps: 0,
+            last_loss: 0,
             unconfirmed_logged: false,
         };
         cx.out.push(Effect::WatchServers(true));
@@ -347,6 +350,8 @@
                 why: why.into(),
             });
             self.discard_run(run, cx);
+            self.mark_dirty_lazily(run.task.step.job, cx.now());
+            self.last_loss = self.commits.last_change();
         }
     }
 
@@ -441,10 +446,20 @@
     }
 
     /// True when a VM with a much larger CPU share could become the owner, and
-    /// this term has lasted long enough and has no unobserved runs.
+    /// this term has lasted long enough and has no unobserved runs. A successor counts
+    /// the leases of servers that do not answer from its own claim, so runs there must
+    /// have ended, and the stored records and heartbeat must say so.
     pub(crate) fn should_yield(&self, settings: &Settings, now: Duration) -> bool {
-        let settled =
-            self.recovery.has_lasted(MIN_TERM_BEFORE_YIELD, now) && !self.may_have_unknown_runs();
+        let is_observed = |ix: ServerIx| {
+            let server = self.fleet.get(ix);
+            let answers = server.state == ServerState::Held && !server.unresponsive;
+            answers || server.runs.is_empty()
+        };
+        let settled = self.recovery.has_lasted(MIN_TERM_BEFORE_YIELD, now)
+            && !self.may_have_unknown_runs()
+            && self.fleet.live().all(is_observed)
+            && self.commits.written_change() >= self.last_loss
+            && self.heartbeats.stored_as_recorded();
         settled
             && self.policy_dispatcher.max_helper_cpu_share() >= settings.cpu_share * YIELD_CPU_RATIO
     }
--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -179,6 +179,14 @@
     }
 }
 
+/// Guards against a weak owner that hands over before the records say which runs have
+/// ended with their servers, so that its successor waits for the leases once more.
+#[test]
+fn an_owner_yields_only_when_its_successor_can_trust_the_records() {
+    assert_guarantees_hold(11, &[Fault::CutDataCentre, Fault::LostServers]);
+    assert_guarantees_hold(11, &[Fault::LostServers, Fault::LongRecovery]);
+}
+
 /// Guards against starting a task again while the next incarnation of its backend
 /// server, unknown to the owner, carries out the start order.
 #[test]
