Use a backend server that is back only once the roster lists it

What callers could see: a task that runs twice. A successor reads in the roster which backend servers may run work, and does not look for runs on others.

Cause: a backend server that was given up with a renewal in flight, and that the registry lists again, was `Discovered`, but still waited for that renewal. Its response made it `Held`, so that starts were sent there before the roster row that lists it was written.

Change: the renewal in flight is not waited for any more. The ends in its response are used like those of any late response.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -199,6 +199,15 @@
         !self.listed && self.unlisted_at.is_some_and(absent)
     }
 
+    /// Discovers an incarnation again that was given up. The response to a renewal that
+    /// is still in flight is not waited for, since the roster does not list the
+    /// incarnation any more.
+    pub(crate) fn rediscover(&mut self, now: Duration) {
+        self.state = ServerState::Discovered;
+        self.renewal = None;
+        self.next_renewal_at = now;
+    }
+
     /// Resources that are not committed to any run.
     pub(crate) fn free(&self) -> Resources {
         self.listing.capacity.minus(self.used)
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -283,7 +283,7 @@
         server.listed = true;
         server.unlisted_at = None;
         if server.state == ServerState::GivenUp {
-            server.state = ServerState::Discovered;
+            server.rediscover(cx.now());
             self.roster.mark_changed(&server.listing.id);
         }
         if starts_draining {
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -1266,6 +1266,35 @@
     assert!(!harness.starts.is_empty(), "{:?}", harness.notices);
 }
 
+/// Pattern: as above, while a renewal is in flight. The roster no longer lists the
+/// backend server, so a successor would not look for runs there: it must not be used
+/// on the response to that renewal.
+#[test]
+fn a_server_that_is_back_is_used_only_once_the_roster_lists_it() {
+    let mut harness = Harness::new("owner", 0.25, Vec::new());
+    harness.renews_by_tick = true;
+    harness.holds_renewals = true;
+    harness.advance(Duration::from_secs(1));
+    harness.deliver(Event::ServerUnlisted("server".into()));
+    harness.advance(Duration::from_secs(12));
+    let in_flight = std::mem::take(&mut harness.held_renewals);
+    harness.holds_renewals = false;
+
+    harness.cell_partition_down = true;
+    harness.deliver(Event::ServerListed(listing()));
+    for (call, server) in in_flight {
+        harness.answer_renewal(call, &server, Vec::new());
+    }
+    harness.submit_plain("0000000000000001");
+    harness.advance(Duration::from_millis(400));
+    let before_the_roster = harness.starts.len();
+    harness.cell_partition_down = false;
+    harness.advance(Duration::from_secs(1));
+
+    assert_eq!(before_the_roster, 0);
+    assert!(!harness.starts.is_empty(), "used once the roster lists it");
+}
+
 /// Pattern: an owner finds a run that an earlier one ordered. A successor that can't
 /// reach that backend server knows of it only by the record.
 #[test]
