A server that starts again after its address was reused is used

What callers would see: less room than the registry lists, until the owner changes.

Cause: when another backend server answers at an address (status 421), the incarnation is marked as terminated. If the registry then listed a newer incarnation of that id, `replace_incarnation` took the mark as a sign that the newer one was known already, and dropped the listing. Only the incarnation that is current for its id gets there, so a newer one is never known.

Change: the check is gone, and the roster is marked as changed for the new incarnation itself instead of only by the end of the old one.

The test fails without the change.

--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -244,10 +244,8 @@
     /// executed may have reached the new one. Their runs are transferred to the
     /// new incarnation until its run lists say otherwise.
     pub(crate) fn replace_incarnation(&mut self, old: ServerIx, listing: Listing, cx: &mut Cx<'_>) {
-        if self.fleet.get(old).state == ServerState::Ended {
-            return; // The newer incarnation is already known.
-        }
         let listed = self.fleet.get(old).listed || self.recovery.registry_loaded;
+        self.roster.mark_changed(&listing.id);
         let new = self.fleet.add(listing, listed);
         let verified = self.fleet.get(old).verified_at;
         let runs = self.fleet.get(old).runs.iter().copied();
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -1295,6 +1295,27 @@
     assert!(!harness.starts.is_empty(), "used once the roster lists it");
 }
 
+/// Pattern: the address of a backend server goes to another one, and later it starts
+/// again under the id that it had. The new incarnation must be used.
+#[test]
+fn a_server_that_starts_again_after_its_address_was_reused_is_used() {
+    let mut harness = Harness::new("owner", 0.25, Vec::new());
+    harness.renews_by_tick = true;
+    harness.advance(Duration::from_secs(1));
+    harness.replaced.insert("server".into());
+    harness.advance(Duration::from_secs(2));
+    harness.replaced.clear();
+
+    harness.deliver(Event::ServerListed(Listing {
+        incarnation: 2,
+        ..listing()
+    }));
+    harness.submit_plain("0000000000000001");
+    harness.advance(Duration::from_secs(1));
+
+    assert!(!harness.starts.is_empty(), "{:?}", harness.notices);
+}
+
 /// Pattern: an owner finds a run that an earlier one ordered. A successor that can't
 /// reach that backend server knows of it only by the record.
 #[test]
