Steps that may run on few servers hold up no others

What callers would see: while 32 jobs of a service wait that no backend server may run, or that may run on a few only, all lower-ranked jobs of the service wait too, without a query to the external policy, however much room there is.

Cause: a pass stops after 32 blocked steps of a service, on the ground that the service is full. A step that the policy has denied everywhere, that needs a label or more than any server has, or whose few servers are in use, was counted too.

Change: a blocked step counts only if it may run on at least half of the service's servers. The work of a pass stays bounded by `MAX_EXAMINED`.

The test fails without the change: not all of 40 jobs are queried for.

--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -25,10 +25,13 @@
 /// Blocked gangs may reserve at most one in this many of a service's backend
 /// servers.
 const RESERVED_DIVISOR: usize = 3;
-/// Number of blocked steps of one service after which a pass skips the
-/// remaining ones: the service is full, and a pass has to stay short under a
+/// Number of steps of one service blocked for want of room after which a pass skips
+/// the remaining ones: the service is full, and a pass has to stay short under a
 /// long backlog.
 const MAX_BLOCKED_STEPS: usize = 32;
+/// A blocked step shows that a service is full only if it may run on at least one in
+/// this many of the service's backend servers.
+const REPRESENTATIVE_DIVISOR: usize = 2;
 /// Number of backend servers that a pass examines for steps that can't start yet:
 /// to withhold room from lower-ranked steps and to choose what to ask the external
 /// policy about. A pass over a long backlog thereby costs a few milliseconds on one
@@ -74,7 +77,8 @@
     pub(crate) candidates: Vec<(ServerIx, Candidate)>,
     /// Number of backend servers withheld for blocked gangs.
     reserved_servers: usize,
-    /// Number of steps that found no backend server in this pass.
+    /// Number of steps that found no room in this pass, although they may run on a
+    /// large part of the backend servers.
     blocked_steps: usize,
     /// Number of backend servers examined for steps that can't start yet.
     examined: usize,
@@ -488,7 +492,8 @@
             let servers = self.servers_to_name(step, spec, remaining.len(), pool);
             self.query_policy(step, queue.priority, admission, &servers, cx);
         }
-        pool.blocked_steps += usize::from(plan.is_empty());
+        let is_full = plan.is_empty() && self.may_run_widely(step, spec, pool);
+        pool.blocked_steps += usize::from(is_full);
         for (_, server) in &plan {
             pool.allocate(*server, spec.committed());
         }
@@ -497,6 +502,16 @@
         }
     }
 
+    /// True if a step may run on a large part of a service's backend servers when
+    /// nothing else does.
+    fn may_run_widely(&self, step: StepRef, spec: &Step, pool: &ServerPool) -> bool {
+        let each = spec.committed();
+        let permitted = pool.candidates.iter().filter(|(ix, candidate)| {
+            each.fits(&candidate.capacity) && self.is_eligible(step, spec, *ix)
+        });
+        permitted.count() * REPRESENTATIVE_DIVISOR >= pool.candidates.len()
+    }
+
     /// Withholds the backend servers with the most free resources from
     /// lower-ranked steps, until a gang of `count` tasks would fit on them.
     fn reserve_for_gang(&self, step: StepRef, spec: &Step, count: usize, pool: &mut ServerPool) {
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -639,6 +639,24 @@
     }
 }
 
+/// Pattern: jobs that no backend server may run come together. They say nothing about
+/// the room that others would find, so the policy must be queried about these too.
+#[test]
+fn steps_that_the_policy_denies_everywhere_hold_up_no_others() {
+    let mut harness = Harness::owning(0.25);
+    let mut graph = graph();
+    graph.steps[0].estimate = Duration::from_secs(60);
+    let ids: BTreeSet<JobId> = (0..40).map(|i| format!("{i:016x}").into()).collect();
+    for id in &ids {
+        harness.submit_graph(id, graph.clone());
+    }
+
+    let mut queried = harness.deny_queries();
+    queried.append(&mut harness.deny_queries());
+
+    assert_eq!(queried, ids);
+}
+
 /// With a slow policy and a backlog of jobs that can no longer meet their
 /// objective, queries in order of arrival would delay the job that still can.
 /// A placement pass must query the policy about that job.
