--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -8,8 +8,8 @@
 use arbtest::arbtest;
 use bytes::Bytes;
 use model::{
-    Attempt, Cell, Epoch, Graph, JobId, Name, Resources, Row, RunKey, RunOutcome, Step, TaskId,
-    Transaction, key,
+    Attempt, Cell, Epoch, Graph, JobId, Name, Resources, Row, RunKey, RunOutcome, Stage, Step,
+    TaskId, Transaction, key,
 };
 use sched::{
     AdmissionPolicy, ApiRequest, CallId, ChangeFeed, Config, Effect, Event, Finished, Layout,
@@ -1284,6 +1284,40 @@
     assert!(!harness.starts.is_empty(), "{:?}", harness.notices);
 }
 
+/// Pattern: a task completes on a backend server that is cut off, which lists the end
+/// when it is back. The task is done, and what depends on it must not wait for a run of
+/// it elsewhere.
+#[test]
+fn an_end_that_a_server_lists_once_it_is_back_counts() {
+    let mut harness = Harness::new("owner", 0.25, Vec::new());
+    harness.renews_by_tick = true;
+    harness.advance(Duration::from_secs(1));
+    harness.submit_plain("0000000000000001");
+    harness.running.push(progress(run_of("0000000000000001")));
+    harness.advance(Duration::from_millis(500));
+    harness.unreachable.insert("server".into());
+    harness.deliver(Event::ServerUnlisted("server".into()));
+    harness.advance(Duration::from_secs(12));
+    harness.running.clear();
+    harness.unreachable.clear();
+    harness.holds_renewals = true;
+
+    harness.deliver(Event::ServerListed(listing()));
+    harness.advance(Duration::from_millis(500));
+    let end = Finished {
+        number: 1,
+        run: run_of("0000000000000001"),
+        outcome: RunOutcome::Completed,
+        checkpoint: Name::default(),
+    };
+    for (call, server) in std::mem::take(&mut harness.held_renewals) {
+        harness.answer_renewal(call, &server, vec![end.clone()]);
+    }
+
+    let completed = |notice: &Notice| matches!(notice, Notice::JobStage { stage, .. } if *stage == Stage::Completed);
+    assert!(harness.notices.iter().any(completed));
+}
+
 /// Pattern: as above, while a renewal is in flight. The roster no longer lists the
 /// backend server, so a successor would not look for runs there: it must not be used
 /// on the response to that renewal.
