A server has left after 2.3 s without an entry; one schedule listed

Tasks whose start got no answer from a server that is lost for good waited until 3 s after its entry left the registry, some 7.5 s in all. The registry needs two seconds to list all servers again after an outage, so 2.3 s suffice.

--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -98,7 +98,7 @@
             renewal_gap: ms(20),
             renewal_retry: ms(250),
             server_timeout: ms(3_000),
-            registry_absence: ms(3_000),
+            registry_absence: ms(2_300),
             max_config_age: ms(4_000),
             early_start: ms(0),
             store_timeout: ms(1_200),
--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -194,6 +194,13 @@
     assert_guarantees_hold(46, &[Fault::OutlivingOrders]);
 }
 
+/// Guards against giving up an unanswered start order while a server that left the
+/// registry may still restart and execute it.
+#[test]
+fn a_start_order_that_outlives_a_server_that_left_does_not_run_beside_another() {
+    assert_guarantees_hold(6, &[Fault::OutlivingOrders]);
+}
+
 /// Guards against an acknowledgement that was meant for one incarnation and drops
 /// unhandled ends of the next one.
 #[test]
