An owner whose term expired releases ownership and says how long its orders last

In all three the predecessor's term had ended 4.6 to 16.6 s before the claim, since neither a write was confirmed nor a majority answered, but nobody else knew. The successor had to assume that the predecessor went on until the claim, could not trust the records, and waited 8.2 s after its claim for the leases of one server (seven in seed 208) that had left, while it held all the others.

An owner whose term has expired now releases the owner row once it reads that no other VM has claimed, as at a shutdown. The same transaction writes how long any lease of this term or an earlier one can last from then on, and whether all runs are recorded. A successor of that very epoch counts leases from the release and trusts complete records at any age; the claim follows after the claim delay instead of after a silence. It still gives every server a second to answer before the runs recorded there count as ended. It is safe since the owner's state is dropped before the release is sent, the release is conditional on the version of the owner row, and the claim on that of the released row: what is stated holds when it is applied, however late. The row is of its own, so rows of earlier builds are read as before, and such a build ignores it.

The harness overwrote a newer follow call with an older one and now keeps the newer.

--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/drain.rs
@@ -1,17 +1,19 @@
-//! Graceful shutdown: releases ownership, then waits until callers use
-//! another entry VM.
+//! Release of ownership, by a graceful shutdown or after the term expired, and the
+//! wait until callers use another entry VM.
 //!
 //! Invariant: no order is sent after the release of ownership was sent.
 
 use std::time::Duration;
 
-use model::{Condition, Transaction, Write};
+use model::{Condition, Epoch, Transaction};
 
-use crate::event::Effect;
+use crate::commit::put;
+use crate::event::{Effect, StoreError, StoreResponse};
 use crate::node::{CELL_RETRY_DELAY, Node};
 use crate::notice::Notice;
 use crate::partition::CELL_PARTITION;
-use crate::rows;
+use crate::rows::{self, LastOrders};
+use crate::term::Role;
 
 /// Minimum time between readiness turning false and process exit, so that the
 /// load balancer notices.
@@ -22,6 +24,16 @@
 /// stopping process.
 const STORE_OUTAGE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// A term of this VM that has ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndedTerm {
+    pub(crate) epoch: Epoch,
+    /// When no order of this term or an earlier one can be in effect any more.
+    pub(crate) orders_end_at: Duration,
+    /// True when all runs that may exist are recorded.
+    pub(crate) recorded: bool,
+}
+
 impl Node {
     /// Starts a graceful shutdown.
     pub(crate) fn shutdown(&mut self) {
@@ -64,10 +76,45 @@
         }
     }
 
-    /// Marks the owner row as released, and drops the owner's state.
+    /// Drops the owner's state, so that no further order is sent in its term.
+    pub(crate) fn end_term(&mut self) {
+        if let Some(mut owner) = self.owner.take() {
+            self.ended_term = owner.last_orders(self.term.epoch());
+            self.out.push(Effect::WatchServers(false));
+        }
+    }
+
+    /// Releases ownership if this VM's term has ended and, by the rows just read, no
+    /// other VM has claimed since. A successor then need neither wait for this VM nor
+    /// assume that it still sends orders.
+    pub(crate) fn maybe_release_ended_term(&mut self) {
+        let owner = &self.term.owner;
+        let is_own = owner.process == self.settings.process && !owner.released;
+        let ended = self
+            .ended_term
+            .is_some_and(|ended| ended.epoch == owner.epoch);
+        let due = self.release_call.is_none() && self.time.now >= self.next_release_at;
+        if is_own && ended && due && self.term.role == Role::Following {
+            self.send_release();
+        }
+    }
+
+    /// Drops the owner's state, and marks the owner row as released.
     pub(crate) fn send_release(&mut self) {
+        // No order may be sent after this write, so the state is dropped first.
+        self.end_term();
         let mut owner = self.term.owner.clone();
         owner.released = true;
+        let mut writes = vec![put(rows::OWNER_KEY.into(), rows::encode(&owner))];
+        if let Some(ended) = self.ended_term {
+            let last_orders = LastOrders {
+                epoch: ended.epoch,
+                in_effect_for: ended.orders_end_at.saturating_sub(self.time.now),
+                recorded: ended.recorded,
+            };
+            let row = rows::encode(&last_orders);
+            writes.push(put(rows::LAST_ORDERS_KEY.into(), row));
+        }
         let call = self.next_call_id();
         self.release_call = Some(call);
         let transaction = Transaction {
@@ -75,14 +122,8 @@
                 key: rows::OWNER_KEY.into(),
                 version: self.term.owner_version,
             }],
-            writes: vec![Write {
-                key: rows::OWNER_KEY.into(),
-                value: Some(rows::encode(&owner)),
-            }],
+            writes,
         };
-        // No order may be sent after this write, so the state is dropped first.
-        self.owner = None;
-        self.out.push(Effect::WatchServers(false));
         self.out.push(Effect::Commit {
             call,
             partition: CELL_PARTITION,
@@ -93,8 +134,11 @@
         self.log(Notice::Released { epoch });
     }
 
-    pub(crate) fn release_answered(&mut self) {
+    pub(crate) fn release_answered(&mut self, result: &Result<StoreResponse, StoreError>) {
         self.release_call = None;
+        if result.is_err() {
+            self.next_release_at = self.time.now + CELL_RETRY_DELAY;
+        }
         self.become_follower();
     }
 }
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -9,6 +9,7 @@
 use compact_str::format_compact;
 use model::{Stage, Transaction, Write};
 
+use crate::drain::EndedTerm;
 use crate::event::{
     ApiRequest, CallId, CallerId, ChangeFeed, Effect, Event, Offer, OfferResponse, PolicyDecision,
     PolicyError, Reply, StoreError, StoreResponse, Table, Time,
@@ -52,6 +53,9 @@
     /// Claim in flight: its call, when it was sent and the row that it writes.
     claim: Option<(CallId, Duration, rows::OwnerRow)>,
     pub(crate) release_call: Option<CallId>,
+    pub(crate) next_release_at: Duration,
+    /// The last term of this VM, once it has ended.
+    pub(crate) ended_term: Option<EndedTerm>,
     offer_in_flight: bool,
     next_offer_at: Duration,
     policy_query: Option<CallId>,
@@ -81,6 +85,8 @@
             cell_version: None,
             claim: None,
             release_call: None,
+            next_release_at: time.now,
+            ended_term: None,
             offer_in_flight: false,
             next_offer_at: time.now,
             policy_query: None,
@@ -256,7 +262,7 @@
             () if self.claim.as_ref().is_some_and(|claim| claim.0 == call) => {
                 self.claim_answered(result)
             }
-            () if self.release_call == Some(call) => self.release_answered(),
+            () if self.release_call == Some(call) => self.release_answered(result),
             () if self.cell_call == Some(call) => self.cell_read(result),
             () if self.with_intake(|intake, cx| intake.store_answered(call, result, cx)) => {}
             () => self.with_owner(|owner, cx| {
@@ -323,6 +329,7 @@
                 self.apply_cell_rows(rows);
                 self.cell_version = Some(*version);
                 self.next_cell_read_at = Some(self.time.now);
+                self.maybe_release_ended_term();
                 self.maybe_claim();
             }
             Ok(StoreResponse::Applied { .. }) | Err(_) => self.cell_read_failed(),
@@ -340,6 +347,7 @@
                     false => CELL_FOLLOW_GAP,
                 };
                 self.next_cell_read_at = Some(self.time.now + gap);
+                self.maybe_release_ended_term();
                 self.maybe_claim();
             }
             Err(StoreError::HistoryLost) => {
@@ -381,7 +389,8 @@
 
     fn maybe_claim(&mut self) {
         let wanted = self.term.should_claim(&self.settings);
-        if !wanted || self.claim.is_some() || self.draining_since.is_some() {
+        let busy = self.claim.is_some() || self.release_call.is_some();
+        if !wanted || busy || self.draining_since.is_some() {
             return;
         }
         let owner = self.term.next_owner(&self.settings);
@@ -465,7 +474,6 @@
         if self.owner.is_none() || valid || releasing {
             return;
         }
-        self.owner = None;
         let why = match self.term.is_owning() {
             true => "neither a confirmed write nor a majority of backend servers in time",
             false => "superseded by another owner",
@@ -474,7 +482,7 @@
             epoch: self.term.epoch(),
             why: why.into(),
         });
-        self.out.push(Effect::WatchServers(false));
+        self.end_term();
         self.become_follower();
     }
 
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -9,16 +9,17 @@
 
 use std::time::Duration;
 
-use model::{JobId, Name, Resources, Row};
+use model::{Epoch, JobId, Name, Resources, Row};
 
 use crate::accounts;
+use crate::drain::EndedTerm;
 use crate::event::{CallId, ChangeFeed, Effect, StoreError, StoreResponse, Table, live_value};
 use crate::fleet::{ServerIx, ServerState};
 use crate::ledger::{Job, JobIx, RunState, StepRef};
 use crate::notice::{Notice, ms};
 use crate::owner::{Cx, Owner};
 use crate::partition::{CELL_PARTITION, Layout, PartitionId};
-use crate::rows::{self, Heartbeat, JobKey, JobRecord, RunRecord, Submission};
+use crate::rows::{self, Heartbeat, JobKey, JobRecord, LastOrders, RunRecord, Submission};
 use crate::settings::Timing;
 use crate::term::SUSPENSION_GAP;
 
@@ -35,6 +36,10 @@
 /// only an operator can repair.
 const LAYOUT_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
+/// Minimum time that the backend servers have to answer before the runs recorded
+/// there count as ended, however long ago their leases ended.
+const FIRST_ANSWER_TIME: Duration = Duration::from_millis(1_000);
+
 /// A scan of the rows of one table in one partition.
 #[derive(Debug)]
 struct TableScan {
@@ -86,8 +91,9 @@
     follow_at: Option<Duration>,
     /// Version up to which changes of the job table were applied.
     followed_version: u64,
-    /// When no order of an earlier owner can be in effect any more; `None` until a
-    /// majority of the backend servers has certainly stopped answering earlier owners.
+    /// When no order of an earlier owner can be in effect any more; `None` until the
+    /// previous owner has said so, or a majority of the backend servers has certainly
+    /// stopped answering earlier owners.
     prior_orders_until: Option<Duration>,
     /// The end of the recovery was logged.
     logged: bool,
@@ -97,6 +103,9 @@
     /// Whether the records cover all runs that may exist; `None` as long as an
     /// earlier owner may have a majority of the backend servers.
     records_trusted: Option<bool>,
+    /// The previous owner said at its release that all runs it had ordered were
+    /// recorded.
+    released_recorded: bool,
 }
 
 impl Recovery {
@@ -137,7 +146,9 @@
         // It may be suspended unnoticed between its last response and its last order.
         let by_majority = now + timing.majority_max_age + SUSPENSION_GAP;
         let lease = timing.lease.div_f64(timing.min_clock_rate);
-        self.prior_orders_until = Some(by_write.max(by_majority) + lease);
+        let bound = by_write.max(by_majority) + lease;
+        let stated = self.prior_orders_until.unwrap_or(bound);
+        self.prior_orders_until = Some(bound.min(stated));
     }
 
     /// Removes the completed scans of a table and returns their rows.
@@ -262,6 +273,7 @@
                 return;
             }
         }
+        self.load_last_orders(&cell, cx);
         let chunks = self.recovery.take_rows(Table::Roster);
         let undivided = find(&cell, rows::UNDIVIDED_ROSTER_KEY);
         self.load_roster(&chunks, undivided.as_ref(), cx);
@@ -342,6 +354,7 @@
         self.recovery.follow_at = Some(cx.now());
         self.place_due = true;
         if first {
+            self.await_first_answers(cx.now());
             self.log_owner(self.recovery.began_at, cx);
         }
     }
@@ -353,6 +366,52 @@
         cx.log(Notice::Owner { epoch, took_ms });
     }
 
+    /// Gives the backend servers, which are called from now on, time to answer.
+    fn await_first_answers(&mut self, now: Duration) {
+        let earliest = now + FIRST_ANSWER_TIME;
+        if let Some(until) = &mut self.recovery.prior_orders_until {
+            *until = earliest.max(*until);
+        }
+    }
+
+    /// Loads what the previous owner said of its orders when it released ownership,
+    /// if it did.
+    fn load_last_orders(&mut self, rows: &[Row], cx: &mut Cx<'_>) {
+        let row = rows.iter().find(|row| row.key == rows::LAST_ORDERS_KEY);
+        let Some((row, bytes)) = row.and_then(|row| Some((row, live_value(row)?))) else {
+            return;
+        };
+        match rows::decode::<LastOrders>(bytes) {
+            Some(last) if last.epoch == cx.term.epoch().saturating_sub(1) => {
+                // The release was sent before the claim was applied; the clocks of the
+                // two VMs may differ in rate.
+                let left = last.in_effect_for.as_secs_f64() / cx.settings.timing.min_clock_rate;
+                let left = Duration::try_from_secs_f64(left).ok();
+                let began_at = self.recovery.began_at;
+                let until = left.and_then(|left| began_at.checked_add(left));
+                self.recovery.prior_orders_until = until;
+                self.recovery.released_recorded = until.is_some() && last.recorded;
+            }
+            Some(_) => {} // A later term ended without a release.
+            None => cx.log(Notice::RowMalformed {
+                key: row.key.clone(),
+            }),
+        }
+    }
+
+    /// What a successor needs to know of the orders of this term, which has ended;
+    /// `None` while orders of an earlier term may be in effect for an unknown time.
+    pub(crate) fn last_orders(&mut self, epoch: Epoch) -> Option<EndedTerm> {
+        let prior = self.recovery.prior_orders_until?;
+        let servers = self.fleet.live().map(|ix| self.fleet.get(ix));
+        let leases = servers.map(|server| server.leases_expire_at);
+        Some(EndedTerm {
+            epoch,
+            orders_end_at: leases.fold(prior, Duration::max),
+            recorded: self.commits.is_all_recorded() && !self.may_have_unknown_runs(),
+        })
+    }
+
     /// Loads the time of the previous owner's last heartbeat.
     fn load_last_heartbeat(&mut self, rows: &[Row]) {
         let row = rows.iter().find(|row| row.key == rows::HEARTBEAT_KEY);
@@ -563,7 +622,8 @@
     pub(crate) fn decide_record_trust(&mut self, cx: &mut Cx<'_>) {
         if self.recovery.records_trusted.is_some()
             || !self.recovery.tables_loaded
-            || self.predecessor_may_have_majority(cx)
+            || (self.recovery.prior_orders_until.is_none()
+                && self.predecessor_may_have_majority(cx))
         {
             return;
         }
@@ -574,8 +634,8 @@
             .recovery
             .last_heartbeat
             .map(|heartbeat| clock.saturating_sub(heartbeat));
-        let trusted =
-            silence.is_none_or(|silence| silence < cx.settings.timing.record_trust_window);
+        let recent = silence.is_none_or(|silence| silence < cx.settings.timing.record_trust_window);
+        let trusted = recent || self.recovery.released_recorded;
         self.recovery.records_trusted = Some(trusted);
         self.place_due = true;
     }
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -20,6 +20,9 @@
 pub(crate) const OWNER_KEY: &str = "cell/owner";
 /// Key of the owner's heartbeat row.
 pub(crate) const HEARTBEAT_KEY: &str = "cell/beat";
+/// Key of the row that says how long the orders of the last released term stay in
+/// effect.
+pub(crate) const LAST_ORDERS_KEY: &str = "cell/orders";
 /// Key of the layout row: the number of job partitions.
 pub(crate) const LAYOUT_KEY: &str = "cell/layout";
 /// Key of the row in which earlier builds kept the whole roster.
@@ -45,6 +48,19 @@
     pub(crate) released: bool,
 }
 
+/// How long the orders of a released term may stay in effect. Written in the
+/// transaction that marks the owner row as released.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LastOrders {
+    /// Epoch of the term.
+    pub(crate) epoch: Epoch,
+    /// Time from the sending of the row until no order of this term or an earlier
+    /// one can be in effect any more.
+    pub(crate) in_effect_for: Duration,
+    /// True when the records of all runs ordered by then had been written.
+    pub(crate) recorded: bool,
+}
+
 /// An owner's heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Heartbeat {
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -142,6 +142,8 @@
     commits: Vec<(PartitionId, Transaction)>,
     /// Whether the table service rejects all writes as unavailable.
     store_down: bool,
+    /// Whether it rejects reads.
+    reads_down: bool,
     /// Whether it rejects writes to the cell's partition.
     cell_partition_down: bool,
     /// Whether it rejects writes to the job partitions.
@@ -237,6 +239,7 @@
             job_rows: Vec::new(),
             commits: Vec::new(),
             store_down: false,
+            reads_down: false,
             cell_partition_down: false,
             job_partitions_down: false,
             job_writes_lost: false,
@@ -406,6 +409,10 @@
                 });
                 self.deliver(Event::StoreAnswered { call, result });
             }
+            Effect::Scan { call, .. } if self.reads_down => {
+                let result = Err(StoreError::Unavailable);
+                self.deliver(Event::StoreAnswered { call, result });
+            }
             Effect::Scan {
                 call,
                 table: Table::Cell,
@@ -447,7 +454,8 @@
             // Both are answered on the next tick.
             Effect::Follow { call, table, .. } => match table {
                 Table::Job => self.job_follow_call = Some(call),
-                _ => self.cell_follow_call = Some(call),
+                // An earlier call may be handled after a later one replaced it.
+                _ => self.cell_follow_call = self.cell_follow_call.max(Some(call)),
             },
             Effect::WatchServers(true) => {
                 self.deliver(Event::ServersListed(self.listings.clone()));
@@ -1338,7 +1346,14 @@
 
 /// A follower of an owner that stopped, with the rows that the owner left.
 fn successor_of(owner: &Harness) -> Harness {
+    successor_named("follower", owner)
+}
+
+fn successor_named(name: &str, owner: &Harness) -> Harness {
     let mut rows = BTreeMap::new();
+    for (partition, row) in &owner.job_rows {
+        rows.insert((*partition, &row.key), Some(&row.cell.value));
+    }
     for (partition, transaction) in &owner.commits {
         for write in &transaction.writes {
             rows.insert((*partition, &write.key), write.value.as_ref());
@@ -1350,7 +1365,7 @@
         let key = key.clone();
         Some((partition, Row { key, cell }))
     });
-    let mut successor = Harness::new("follower", 0.25, owner.cell_rows.clone());
+    let mut successor = Harness::new(name, 0.25, owner.cell_rows.clone());
     successor.job_rows = rows.collect();
     successor.roster_rows = owner.roster_rows.clone();
     successor
@@ -1422,6 +1437,202 @@
     );
 }
 
+/// Lets the term of an owner expire while the table service is away, without any
+/// answer of the backend servers, and lets the service be back `outage` after its
+/// loss. The process shuts down meanwhile, so that it does not claim again.
+fn expire_term(owner: &mut Harness, outage: Duration) {
+    let servers = owner.listings.iter().map(|listing| listing.id.clone());
+    owner.unreachable = servers.collect();
+    owner.store_down = true;
+    owner.advance(outage);
+    assert!(!owner.node.is_owner());
+    owner.deliver(Event::Shutdown);
+    owner.store_down = false;
+    owner.advance(Duration::from_millis(500));
+}
+
+/// A successor that takes over once the predecessor's heartbeat is too old for its
+/// records to be trusted. It can't reach the last of the three backend servers, which
+/// has left the registry.
+fn successor_without_last(name: &str, owner: &Harness) -> Harness {
+    let mut successor = successor_named(name, owner);
+    successor.unreachable.insert("last".into());
+    successor.listings = ["one", "two"].map(named_listing).into();
+    take_over(&mut successor, owner);
+    successor
+}
+
+/// Lets a node claim that has not heard of the owner for a long time.
+fn take_over(successor: &mut Harness, owner: &Harness) {
+    successor.renews_by_tick = true;
+    successor.starts_lost = true;
+    successor.stops_lost = true;
+    successor.now = owner.now + Duration::from_secs(4);
+    successor.advance(Duration::from_millis(300));
+    assert!(successor.node.is_owner());
+}
+
+/// Guards against a fleet without an owner: one whose term had expired said nothing
+/// when it reached the table service again, so that the others waited until its
+/// silence was long enough.
+#[test]
+fn an_owner_whose_term_expired_releases_ownership_when_the_store_is_back() {
+    let mut owner = Harness::owning(0.25);
+    owner.unreachable.insert("server".into());
+    owner.store_down = true;
+    owner.reads_down = true;
+    owner.advance(Duration::from_secs(4));
+    assert!(!owner.node.is_owner());
+
+    owner.store_down = false;
+    owner.reads_down = false;
+    owner.advance(Duration::from_millis(500));
+
+    assert!(owner.node.is_owner(), "{:?}", owner.notices);
+}
+
+/// A release that is rejected is repeated, but not at each answer of the table
+/// service.
+#[test]
+fn a_release_that_fails_is_repeated_after_a_delay() {
+    let mut owner = Harness::owning(0.25);
+    owner.unreachable.insert("server".into());
+    owner.store_down = true;
+    owner.advance(Duration::from_secs(5));
+
+    let released = |notice: &&Notice| matches!(notice, Notice::Released { .. });
+    let releases = owner.notices.iter().filter(released).count();
+
+    assert!((2..=15).contains(&releases), "{releases} in 2 s");
+}
+
+/// Guards against a fleet that stands idle for one backend server that has left: the
+/// successor waited for leases that had ended before its claim, since it could not
+/// know when the predecessor's term had ended.
+#[test]
+fn a_successor_of_a_released_term_does_not_wait_for_leases_that_have_ended() {
+    let mut owner = owner_with_run_on_last_of_three();
+    expire_term(&mut owner, Duration::from_secs(10));
+    let mut successor = successor_without_last("follower", &owner);
+
+    grant_for(&mut successor, &["one", "two"], Duration::from_secs(2));
+
+    assert!(!successor.starts.is_empty(), "{:?}", successor.notices);
+}
+
+/// Guards against a second run of a task beside one whose lease has not ended: what
+/// the predecessor says at its release counts from then, and only the leases end.
+#[test]
+fn a_successor_of_a_released_term_waits_for_leases_that_have_not_ended() {
+    let mut owner = owner_with_run_on_last_of_three();
+    expire_term(&mut owner, Duration::from_millis(3_500));
+    let mut successor = successor_without_last("follower", &owner);
+
+    grant_for(&mut successor, &["one", "two"], Duration::from_secs(1));
+    let while_leased = successor.starts.len();
+    grant_for(&mut successor, &["one", "two"], Duration::from_secs(3));
+
+    assert_eq!(while_leased, 0, "the lease may not have ended");
+    assert!(!successor.starts.is_empty(), "{:?}", successor.notices);
+}
+
+/// What a released term said of its orders must not be taken for that of a later
+/// term, whose owner failed without a release.
+#[test]
+fn the_last_orders_of_a_released_term_say_nothing_of_the_next_one() {
+    let mut owner = owner_with_run_on_last_of_three();
+    expire_term(&mut owner, Duration::from_secs(10));
+    let mut next = successor_of(&owner);
+    next.listings = owner.listings.clone();
+    take_over(&mut next, &owner);
+    grant_for(&mut next, &["last"], Duration::from_secs(2));
+    assert_eq!(next.starts.len(), 1, "{:?}", next.notices);
+    let mut successor = successor_without_last("third", &next);
+
+    grant_for(&mut successor, &["one", "two"], Duration::from_secs(3));
+
+    assert_eq!(successor.starts, [] as [Attempt; 0]);
+}
+
+/// An owner that started the only task on the last of three backend servers while
+/// the table service was away, and whose term has expired since.
+fn owner_with_unrecorded_run_on_last(outage: Duration) -> Harness {
+    let mut owner = Harness::new("owner", 0.25, Vec::new());
+    owner.listings = ["one", "two", "last"].map(named_listing).into();
+    owner.renews_by_tick = true;
+    owner.starts_lost = true;
+    owner.stops_lost = true;
+    owner.advance(Duration::from_secs(1));
+    owner.submit("0000000000000001");
+    owner.advance(Duration::from_millis(100));
+    owner.store_down = true;
+    owner.advance(Duration::from_secs(4));
+    owner.answer_policy(vec![("last".into(), "ticket".into())]);
+    owner.advance(Duration::from_millis(100));
+    assert_eq!(owner.starts.len(), 1, "{:?}", owner.notices);
+    expire_term(&mut owner, outage);
+    owner
+}
+
+/// Guards against a fleet that stands idle for one backend server that has left. What
+/// it may have run unrecorded ended with its lease, before the claim.
+#[test]
+fn inherited_tasks_start_once_unrecorded_runs_have_lost_their_leases() {
+    let owner = owner_with_unrecorded_run_on_last(Duration::from_secs(8));
+    let mut successor = successor_without_last("follower", &owner);
+
+    grant_for(&mut successor, &["one", "two"], Duration::from_secs(2));
+
+    assert!(!successor.starts.is_empty(), "{:?}", successor.notices);
+}
+
+/// Guards against a second run of a task that the predecessor started unrecorded: a
+/// release must not make the successor trust records that lack it.
+#[test]
+fn inherited_tasks_wait_for_the_leases_of_unrecorded_runs_after_a_release() {
+    let owner = owner_with_unrecorded_run_on_last(Duration::from_secs(1));
+    let mut successor = successor_without_last("follower", &owner);
+
+    grant_for(&mut successor, &["one", "two"], Duration::from_secs(2));
+    let while_leased = successor.starts.len();
+    grant_for(&mut successor, &["one", "two"], Duration::from_secs(5));
+
+    assert_eq!(while_leased, 0, "the lease may not have ended");
+    assert!(!successor.starts.is_empty(), "{:?}", successor.notices);
+}
+
+/// Guards against runs that are given up, and work that is done twice, because a
+/// successor sweeps the backend servers before any of them could answer.
+#[test]
+fn servers_may_answer_before_the_runs_of_a_released_term_count_as_ended() {
+    let mut owner = owner_with_run_on_last_of_three();
+    expire_term(&mut owner, Duration::from_secs(10));
+    let mut successor = successor_of(&owner);
+    successor.listings = owner.listings.clone();
+
+    take_over(&mut successor, &owner);
+
+    let mut notices = successor.notices.iter();
+    let given_up = notices.any(|notice| matches!(notice, Notice::ServerLost { .. }));
+    assert!(!given_up, "{:?}", successor.notices);
+}
+
+/// The heartbeat is too old to say that everything was recorded, but the owner said
+/// so when it released its term.
+#[test]
+fn a_successor_trusts_the_records_of_a_released_term_that_left_none_out() {
+    let mut owner = owner_with_run_on_last_of_three();
+    owner.submit("0000000000000002");
+    owner.advance(Duration::from_millis(100));
+    expire_term(&mut owner, Duration::from_millis(3_500));
+    let mut successor = successor_without_last("follower", &owner);
+
+    successor.advance(Duration::from_millis(500));
+
+    let mut queries = successor.policy_calls.iter();
+    assert!(queries.any(|(_, job)| job == "0000000000000002"));
+}
+
 /// Keys of the rows that were logged as malformed, in ascending order.
 fn malformed_keys(harness: &Harness) -> Vec<&str> {
     let notices = harness.notices.iter();
