Inherited tasks wait only for unreached servers that have room for them

A task that needs more than the whole of a backend server can't run there: an owner places within the room that the roster records. Such a task starts now. The test fails without the change, and with all tasks let through.

The service is not used: a queue's service may change between the two owners' configurations. Nor are labels, which the roster doesn't hold.

--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -172,10 +172,14 @@
             let Some(job) = self.ledger.jobs.get(&ix) else {
                 continue;
             };
-            if job.stage.is_terminal() || (may_have_unknown_runs && job.inherited) {
+            if job.stage.is_terminal() {
                 continue;
             }
-            let steps = ready_steps(ix, job);
+            let mut steps = ready_steps(ix, job);
+            if may_have_unknown_runs && job.inherited {
+                let spec = |step: &StepRef| job.graph.steps.get(step.step as usize);
+                steps.retain(|step| spec(step).is_some_and(|s| !self.may_run_unknown(s)));
+            }
             if steps.is_empty() {
                 continue;
             }
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use model::{Epoch, JobId, Name, Resources, Row};
+use model::{Epoch, JobId, Name, Resources, Row, Step};
 
 use crate::accounts;
 use crate::drain::EndedTerm;
@@ -735,10 +735,23 @@
     /// True while runs that an earlier owner ordered may exist without being known
     /// to this one.
     pub(crate) fn may_have_unknown_runs(&self) -> bool {
-        let trusted = self.recovery.records_trusted == Some(true);
-        let undecided = self.recovery.records_trusted.is_none();
-        !self.recovery.tables_loaded
-            || undecided
-            || (!trusted && self.inherited_servers().next().is_some())
+        match self.recovery.records_trusted {
+            _ if !self.recovery.tables_loaded => true,
+            None => true,
+            Some(trusted) => !trusted && self.inherited_servers().next().is_some(),
+        }
+    }
+
+    /// True while a task of an inherited step may run without being known to this
+    /// owner: on a backend server with room for it that may have unknown runs.
+    pub(crate) fn may_run_unknown(&self, spec: &Step) -> bool {
+        let each = spec.committed();
+        let mut servers = self.inherited_servers();
+        match self.recovery.records_trusted {
+            _ if !self.recovery.tables_loaded => true,
+            None => true,
+            Some(true) => false,
+            Some(false) => servers.any(|ix| each.fits(&self.fleet.get(ix).listing.capacity)),
+        }
     }
 }
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -1601,6 +1601,33 @@
     assert!(!successor.starts.is_empty(), "{:?}", successor.notices);
 }
 
+/// Guards against a fleet that stands idle for one backend server that has left: a
+/// task that has no room there can't run there. Only the others wait.
+#[test]
+fn only_inherited_tasks_with_room_on_an_unreached_server_wait() {
+    let mut owner = Harness::new("owner", 0.25, Vec::new());
+    let small = Listing {
+        capacity: Resources::of(500, 65_536, 0, 0),
+        ..named_listing("last")
+    };
+    owner.listings = vec![named_listing("one"), named_listing("two"), small];
+    owner.renews_by_tick = true;
+    owner.advance(Duration::from_secs(1));
+    let mut light = graph();
+    light.steps[0].each = Resources::of(100, 512, 0, 0);
+    owner.submit("0000000000000001");
+    owner.submit_graph("0000000000000002", light);
+    owner.advance(Duration::from_millis(100));
+    let mut successor = successor_without_last("follower", &owner);
+
+    let early = successor.deny_queries();
+    successor.advance(Duration::from_secs(8));
+    let late = successor.deny_queries();
+
+    assert_eq!(early, BTreeSet::from(["0000000000000001".into()]));
+    assert!(late.contains("0000000000000002"), "{late:?}");
+}
+
 /// Guards against runs that are given up, and work that is done twice, because a
 /// successor sweeps the backend servers before any of them could answer.
 #[test]
