Nothing inherited waits for a server that has left the registry

The successor waited for the leases of a server that the registry no longer listed.

Once no predecessor can have a majority, a server of the roster that the registry has not listed for 2.3 s counts as gone, as the platform states. The registry drops a silent server's entry after 3 s at the earliest, so leases of 5.2 s have ended by then, unless the server was cut off from the table service and the successor but not from the predecessor; this case is accepted. A server that the roster lists and the registry does not counts as absent from when both are read.

The fixture of the released terms' tests, in which the last server had left the registry, now lists it, so that the new rule doesn't answer for what they check.

--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -158,7 +158,9 @@
                 continue;
             };
             match rows::decode::<Vec<RosterEntry>>(bytes) {
-                Some(entries) => entries.into_iter().for_each(|e| self.load_roster_entry(e)),
+                Some(entries) => entries
+                    .into_iter()
+                    .for_each(|e| self.load_roster_entry(e, cx.now())),
                 None => cx.log(Notice::RowMalformed {
                     key: row.key.clone(),
                 }),
@@ -170,7 +172,7 @@
         }
     }
 
-    fn load_roster_entry(&mut self, entry: RosterEntry) {
+    fn load_roster_entry(&mut self, entry: RosterEntry, now: Duration) {
         let listed = self.fleet.find(&entry.id);
         let same = |ix: &ServerIx| self.fleet.get(*ix).listing.incarnation == entry.incarnation;
         let ix = match listed.filter(same) {
@@ -191,7 +193,9 @@
                 false,
             ),
         };
+        let unlisted = self.recovery.registry_loaded && !self.fleet.get(ix).listed;
         let server = self.fleet.get_mut(ix);
+        server.unlisted_at = unlisted.then_some(now);
         server.inherited = true;
         server.in_inherited_roster = true;
         server.in_stored_roster = true;
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -1555,11 +1555,11 @@
 
 /// A successor that takes over once the predecessor's heartbeat is too old for its
 /// records to be trusted. It can't reach the last of the three backend servers, which
-/// has left the registry.
+/// the registry still lists.
 fn successor_without_last(name: &str, owner: &Harness) -> Harness {
     let mut successor = successor_named(name, owner);
     successor.unreachable.insert("last".into());
-    successor.listings = ["one", "two"].map(named_listing).into();
+    successor.listings = owner.listings.clone();
     take_over(&mut successor, owner);
     successor
 }
@@ -1762,6 +1762,34 @@
     assert!(queries.any(|(_, job)| job == "0000000000000002"));
 }
 
+/// Guards against a fleet that stands idle for one server. The records are not trusted,
+/// since the last heartbeat is old, and a server of the roster has left the registry, so
+/// it runs nothing that inherited tasks would have to wait for.
+#[test]
+fn inherited_tasks_do_not_wait_for_a_server_that_has_left() {
+    let mut owner = Harness::new("owner", 0.25, Vec::new());
+    owner.listings = ["one", "two", "last"].map(named_listing).into();
+    owner.renews_by_tick = true;
+    owner.advance(Duration::from_secs(1));
+    owner.submit_plain("0000000000000001");
+    owner.advance(Duration::from_millis(100));
+    let mut successor = successor_of(&owner);
+    successor.listings = ["one", "two"].map(named_listing).into();
+    successor.renews_by_tick = true;
+    successor.unreachable.insert("last".into());
+    successor.store_down = true;
+    successor.advance(Duration::from_secs(8));
+    successor.store_down = false;
+
+    successor.advance(Duration::from_secs(2));
+    let at_first = successor.starts.len();
+    successor.advance(Duration::from_secs(3));
+
+    assert!(successor.node.is_owner());
+    assert_eq!(at_first, 0, "the entry may still come back");
+    assert!(!successor.starts.is_empty(), "{:?}", successor.notices);
+}
+
 /// Keys of the rows that were logged as malformed, in ascending order.
 fn malformed_keys(harness: &Harness) -> Vec<&str> {
     let notices = harness.notices.iter();
