Use a response only for the incarnation that it came from

A run could end before the owner expected it, and a sound server could count as ended with all its runs, so that tasks run twice.

The run of an unanswered start or stop moves to the next incarnation of its backend server. The response to that order, if it came after all, was applied where the run was by then: its clock, which restarts with an incarnation, made the owner order leases up to a time that the server cuts, while the owner counted 5.2 s; and the word that another incarnation answers at the address ended the next one.

Such a response now counts as lost, and a stop follows.

--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -175,14 +175,20 @@
         let Some((sent, server, token)) = self.orders_in_flight.remove(&call) else {
             return;
         };
-        let result = match result {
-            Ok(OrderResponse::Rejected(Rejection::Superseded))
-                if self.is_superseded_by_own_order(server, token, cx) =>
-            {
-                Ok(OrderResponse::Rejected(Rejection::TooLate))
-            }
-            other => other,
-        };
+        let result =
+            match result {
+                Ok(OrderResponse::Rejected(Rejection::Superseded))
+                    if self.is_superseded_by_own_order(server, token, cx) =>
+                {
+                    Ok(OrderResponse::Rejected(Rejection::TooLate))
+                }
+                // The clock and the address of an earlier incarnation say nothing of the one
+                // to which the run was moved.
+                Ok(
+                    OrderResponse::Done(_) | OrderResponse::Rejected(Rejection::OtherIncarnation),
+                ) if self.has_moved(&sent, server) => Err(OrderError::Lost),
+                other => other,
+            };
         match sent {
             SentOrder::Start(run) => self.start_answered(run, result, cx),
             SentOrder::Stop(run) => self.stop_answered(run, result, cx),
@@ -193,6 +199,17 @@
         }
     }
 
+    /// True when the run of an order was moved to another incarnation than the order
+    /// was sent to.
+    fn has_moved(&self, sent: &SentOrder, server: ServerIx) -> bool {
+        let run = match sent {
+            SentOrder::Start(run) | SentOrder::Stop(run) | SentOrder::Pace(run) => run,
+            SentOrder::StopOrphan | SentOrder::RenewLease(_) => return false,
+        };
+        let placed = self.ledger.runs.get(run);
+        placed.is_some_and(|placed| placed.server != server)
+    }
+
     /// True when an order carried a lower fencing token than this owner now uses
     /// for the next incarnation of the same backend server. Its rejection then
     /// does not mean that another owner has taken over.
--- a/crates/sched/tests/owner.rs
+++ b/crates/sched/tests/owner.rs
@@ -20,6 +20,8 @@
 
 /// Time after which a write counts as lost whose connection was reset.
 const LOST_WRITE_TIME: Duration = Duration::from_millis(5);
+/// Clock of the first incarnation of a backend server when the others begin.
+const CLOCK_AT_RESTART_MS: u64 = 100_000;
 /// Interval between ticks.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -186,6 +188,12 @@
     renews_by_tick: bool,
     /// Lease renewals that are answered at the next tick, with their backend server.
     pending_renewals: Vec<(CallId, Name)>,
+    /// Whether start orders wait for an answer.
+    holds_starts: bool,
+    /// Start orders that wait for an answer.
+    held_starts: Vec<CallId>,
+    /// Latest end of a lease that was ordered, on the backend servers' clock in ms.
+    max_lease_end: u64,
     /// Ends that the backend server `server` lists.
     finished: Vec<Finished>,
     /// Lease renewals that are held, with their backend server.
@@ -261,6 +269,9 @@
             renewal_tokens: Vec::new(),
             renews_by_tick: false,
             pending_renewals: Vec::new(),
+            holds_starts: false,
+            held_starts: Vec::new(),
+            max_lease_end: 0,
             finished: Vec::new(),
             held_renewals: Vec::new(),
             listings: vec![listing()],
@@ -482,6 +493,10 @@
                         self.running.push(progress(run));
                     }
                 }
+                if self.holds_starts {
+                    self.held_starts.push(call);
+                    return;
+                }
                 let result = match () {
                     () if self.starts_run => Ok(OrderResponse::Done(self.clock())),
                     () if self.starts_lost => Err(OrderError::Lost),
@@ -514,6 +529,9 @@
                 ..
             } if matches!(*order, Order::RenewLease { .. }) => {
                 self.renewal_tokens.push(token);
+                if let Order::RenewLease { lease_end, .. } = *order {
+                    self.max_lease_end = self.max_lease_end.max(lease_end.unwrap_or(0));
+                }
                 match self.renews_by_tick {
                     true => self.pending_renewals.push((call, server)),
                     false => {
@@ -543,9 +561,13 @@
         self.deliver(Event::OrderAnswered { call, result });
     }
 
-    /// Clock of the backend servers.
+    /// Clock of the backend servers, which restarts with an incarnation.
     fn clock(&self) -> u64 {
-        self.now.as_millis() as u64
+        let now = self.now.as_millis() as u64;
+        match self.incarnation {
+            1 => now,
+            _ => now - CLOCK_AT_RESTART_MS,
+        }
     }
 
     fn is_down(&self, partition: PartitionId) -> bool {
@@ -1257,6 +1279,68 @@
     assert!(harness.node.is_owner(), "{:?}", harness.notices);
 }
 
+/// An owner with an unanswered start order to an incarnation that has restarted since,
+/// and the call of that order. Its run was moved to the next incarnation.
+fn owner_with_start_to_earlier_incarnation() -> (Harness, CallId) {
+    let mut harness = Harness::new("owner", 0.25, Vec::new());
+    harness.renews_by_tick = true;
+    harness.advance(Duration::from_secs(1));
+    harness.holds_starts = true;
+    harness.submit_plain("0000000000000001");
+    harness.advance(Duration::from_millis(100));
+    harness.holds_starts = false;
+    let call = harness.held_starts[0];
+    harness.deliver(Event::ServerListed(Listing {
+        incarnation: 2,
+        ..listing()
+    }));
+    (harness, call)
+}
+
+/// Guards against runs that end before the owner expects it. The clock in a late
+/// response of an earlier incarnation is not that of the one to which the run was
+/// moved, and the ends of leases there are computed from it.
+#[test]
+fn the_clock_of_an_earlier_incarnation_is_not_used_for_the_next() {
+    let (mut harness, call) = owner_with_start_to_earlier_incarnation();
+    let clock = harness.now.as_millis() as u64;
+    let result = Ok(OrderResponse::Done(clock));
+    harness.deliver(Event::OrderAnswered { call, result });
+    harness.max_lease_end = 0;
+
+    harness.advance(Duration::from_secs(2));
+
+    let longest = harness.clock() + 5_000;
+    assert!(
+        harness.max_lease_end <= longest,
+        "{}",
+        harness.max_lease_end
+    );
+}
+
+/// Guards against the end of a sound incarnation. That another one answers at the
+/// address of an earlier incarnation says nothing of the one to which the run was
+/// moved.
+#[test]
+fn a_rejection_for_an_earlier_incarnation_does_not_end_the_next() {
+    let (mut harness, call) = owner_with_start_to_earlier_incarnation();
+    harness.advance(Duration::from_millis(200));
+    let result = Ok(OrderResponse::Rejected(Rejection::OtherIncarnation));
+    harness.deliver(Event::OrderAnswered { call, result });
+    harness.starts_run = true;
+    harness.advance(Duration::from_millis(500));
+    let starts_before = harness.starts.len();
+
+    harness.submit_plain("0000000000000002");
+    harness.advance(Duration::from_secs(3));
+
+    assert!(
+        harness.starts.len() > starts_before,
+        "{:?}",
+        harness.notices
+    );
+}
+
 /// Guards against two owners at the same time. An owner without the table service can't
 /// change the stored roster, by which a successor counts its majority, so backend
 /// servers that have terminated since count against its own.
