Split the tests of one entry VM by subject

Its simulated platform is now `harness`, and the tests are in `term`, `servers`, `takeover` and `rows`.

--- /dev/null
+++ b/crates/sched/tests/owner/main.rs
@@ -0,0 +1,8 @@
+//! Tests of a single entry VM against simulated responses of the table service,
+//! the registry, the backend servers and the external admission policy.
+
+mod harness;
+mod rows;
+mod servers;
+mod takeover;
+mod term;
