--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -187,6 +187,15 @@
     assert_guarantees_hold(11, &[Fault::LostServers, Fault::LongRecovery]);
 }
 
+/// Guards against counts of waiting jobs that fall back to those of an earlier moment.
+#[test]
+fn counts_of_waiting_jobs_do_not_fall_back_after_lost_answers() {
+    use Fault::{CrashServers, CutServers, LapsedEntries, StoreLost};
+
+    assert_guarantees_hold(1325, &[StoreLost, CutServers, CrashServers]);
+    assert_guarantees_hold(1069, &[LapsedEntries, StoreLost]);
+}
+
 /// Guards against starting a task again while the next incarnation of its backend
 /// server, unknown to the owner, carries out the start order.
 #[test]
