--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -107,6 +107,8 @@
     pub(crate) last_answer_at: Duration,
     /// True after a lease renewal without a response, until the next response.
     pub(crate) unresponsive: bool,
+    /// When a call without a response first showed that it is silent.
+    pub(crate) silent_since: Option<Duration>,
     pub(crate) renewal: Option<RenewalCall>,
     pub(crate) next_renewal_at: Duration,
     /// The next renewal asks for the lists at once instead of when a run ends.
@@ -149,6 +151,7 @@
             verified_at: Duration::ZERO,
             last_answer_at: Duration::ZERO,
             unresponsive: false,
+            silent_since: None,
             renewal: None,
             next_renewal_at: Duration::ZERO,
             lists_wanted: false,
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -205,6 +205,7 @@
         let server = self.fleet.get_mut(ix);
         if !server.unresponsive {
             server.unresponsive = true;
+            server.silent_since.get_or_insert(cx.now());
             let notice = Notice::ServerSilent {
                 server: server.listing.id.clone(),
                 fault,
@@ -238,6 +239,7 @@
         server.verified_at = sent_at;
         server.observe_clock(lists.clock, now);
         server.unresponsive = false;
+        server.silent_since = None;
         let first = server.state == ServerState::InRoster;
         server.state = ServerState::Held;
         self.process_ends(ix, lists, cx);
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -137,6 +137,15 @@
     /// A backend server failed tasks of several jobs and gets no new work for a
     /// while.
     ServerHeldBack { server: Name },
+    /// The capacity of a backend server changed while it runs.
+    ServerResized {
+        server: Name,
+        millicpus: u32,
+        memory_mib: u32,
+        accelerators: u32,
+        /// The runs there use more than that.
+        over: bool,
+    },
     /// The start of a run was decided.
     Start {
         job: Name,
@@ -200,6 +209,10 @@
         run: Attempt,
         server: Name,
         why: Name,
+        /// Time from its start order until the backend server was silent.
+        ran_ms: u64,
+        /// Number of other runs on the backend server at that time.
+        others: u32,
     },
     /// A backend server listed the end of a run that this owner no longer held.
     EndUnexpected {
@@ -288,6 +301,7 @@
             Self::ServerLeaving { .. } => 353,
             Self::ServerHeldBack { .. } => 354,
             Self::ListsUnused { .. } => 355,
+            Self::ServerResized { .. } => 356,
             Self::Start { .. } => 360,
             Self::StartRejected { .. } => 361,
             Self::StartLost { .. } => 362,
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -294,6 +294,7 @@
     fn update_listing(&mut self, ix: ServerIx, listing: Listing, cx: &mut Cx<'_>) {
         let server = self.fleet.get_mut(ix);
         let starts_draining = listing.draining && !server.listing.draining;
+        let resized = listing.capacity != server.listing.capacity;
         server.listing = listing;
         server.listed = true;
         server.unlisted_at = None;
@@ -301,6 +302,16 @@
             server.rediscover(cx.now());
             self.roster.mark_changed(&server.listing.id);
         }
+        if resized {
+            let capacity = server.listing.capacity;
+            cx.log(Notice::ServerResized {
+                server: server.listing.id.clone(),
+                millicpus: capacity.millicpus,
+                memory_mib: capacity.memory_mib,
+                accelerators: capacity.accelerators,
+                over: !server.used.fits(&capacity),
+            });
+        }
         if starts_draining {
             let notice = Notice::ServerLeaving {
                 server: server.listing.id.clone(),
@@ -355,14 +366,20 @@
             runs: runs.len() as u32,
             why: why.into(),
         });
+        let others = runs.len().saturating_sub(1) as u32;
+        let silent_at = self.fleet.get(ix).silent_since.unwrap_or(cx.now());
         for run in runs {
             let label = self.run_label(run, ix);
+            let placed = self.ledger.runs.get(&run);
+            let ran = placed.map(|placed| silent_at.saturating_sub(placed.ordered_at));
             cx.log(Notice::RunLost {
                 job: label.job,
                 task: label.task,
                 run: run.number,
                 server: label.server,
                 why: why.into(),
+                ran_ms: ms(ran.unwrap_or_default()),
+                others,
             });
             self.discard_run(run, cx);
             self.mark_dirty_lazily(run.task.step.job, cx.now());
