Start only what fits the capacity that a backend server has now

What callers could see: a backend server that shrinks is filled beyond its capacity, or a task runs twice after a takeover.

Cause: the capacity of a server was taken as constant during its life. - A start was planned while there was room and sent when its record was written, without another look. - An incarnation that only its lists show took the capacity of its predecessor. - What unknown runs may use, and whether a task may run unknown, was bounded by the capacity now, though they were started when it was larger. The roster row kept the first capacity. - A capacity that grew was used before the roster could tell a successor.

Change: a start is dropped, and its task waits again, if its server has more committed than it has when the start is to be sent. An incarnation gets no work before the registry lists it. A server keeps the largest capacity that it is known to have had, the roster stores it when it grows, and only stored room is used. The format of the rows stays.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -77,6 +77,13 @@
 #[derive(Debug)]
 pub(crate) struct Server {
     pub(crate) listing: Listing,
+    /// The largest capacity that it is known to have had: what runs there may have been
+    /// started while it was larger than now.
+    pub(crate) peak_capacity: Resources,
+    /// `peak_capacity` as stored in the roster for a successor.
+    pub(crate) stored_capacity: Resources,
+    /// When its capacity last changed.
+    pub(crate) resized_at: Duration,
     /// True while the registry has an entry for this incarnation.
     pub(crate) listed: bool,
     /// Since when the registry is known to have no entry for it.
@@ -144,6 +151,9 @@
 impl Server {
     fn new(listing: Listing, listed: bool) -> Self {
         Self {
+            peak_capacity: listing.capacity,
+            stored_capacity: Resources::ZERO,
+            resized_at: Duration::ZERO,
             listing,
             listed,
             unlisted_at: None,
@@ -223,9 +233,29 @@
         self.next_renewal_at = now;
     }
 
+    /// Resources that runs may use: a successor must know what may run here, so room that
+    /// the stored roster does not show is not used yet.
+    fn room(&self) -> Resources {
+        self.listing.capacity.min(self.stored_capacity)
+    }
+
     /// Resources that are not committed to any run.
     pub(crate) fn free(&self) -> Resources {
-        self.listing.capacity.minus(self.used)
+        self.room().minus(self.used)
+    }
+
+    /// True when the runs here have more resources committed than there is room for, since
+    /// the capacity has shrunk.
+    pub(crate) fn is_overcommitted(&self) -> bool {
+        !self.used.fits(&self.room())
+    }
+
+    /// Notes a change of the capacity. Returns true if the roster has to be written.
+    pub(crate) fn resized(&mut self, now: Duration) -> bool {
+        self.resized_at = now;
+        let grown = !self.listing.capacity.fits(&self.peak_capacity);
+        self.peak_capacity = self.peak_capacity.max(self.listing.capacity);
+        grown
     }
 
     /// Records the clock reading of a response that arrived at `now`.
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -231,7 +231,8 @@
                 incarnation: lists.incarnation.unwrap_or(known),
                 ..self.fleet.get(ix).listing.clone()
             };
-            self.replace_incarnation(ix, listing, cx);
+            // It may have another capacity than its predecessor, which only the registry shows.
+            self.replace_incarnation(ix, listing, false, cx);
             return;
         }
         let now = cx.now();
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -86,6 +86,12 @@
             self.discard_run(run, cx);
             return;
         };
+        // The backend server may have shrunk while the record was written.
+        if self.fleet.get(server).is_overcommitted() {
+            self.log_start_rejected(run, server, Rejection::NoRoom, cx);
+            self.discard_run(run, cx);
+            return;
+        }
         let Some((payload, checkpoint, ticket)) = self.start_details(run, server) else {
             return;
         };
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -248,7 +248,7 @@
                 self.update_listing(ix, listing, cx);
             }
             Some(ix) if self.fleet.get(ix).listing.incarnation > listing.incarnation => {}
-            Some(ix) => self.replace_incarnation(ix, listing, cx),
+            Some(ix) => self.replace_incarnation(ix, listing, true, cx),
             None => {
                 self.roster.mark_changed(&listing.id);
                 self.fleet.add(listing, true);
@@ -259,12 +259,23 @@
     /// Replaces an incarnation by a newer one with the same id. Orders are
     /// addressed by id, so orders that the old incarnation is not certain to have
     /// executed may have reached the new one. Their runs are transferred to the
-    /// new incarnation until its run lists say otherwise.
-    pub(crate) fn replace_incarnation(&mut self, old: ServerIx, listing: Listing, cx: &mut Cx<'_>) {
-        let listed = self.fleet.get(old).listed || self.recovery.registry_loaded;
+    /// new incarnation until its run lists say otherwise. `listed` is true if the registry
+    /// has an entry for the new one.
+    pub(crate) fn replace_incarnation(
+        &mut self,
+        old: ServerIx,
+        listing: Listing,
+        listed: bool,
+        cx: &mut Cx<'_>,
+    ) {
         self.roster.mark_changed(&listing.id);
         let given_up = self.note_crash(old, cx);
         let new = self.fleet.add(listing, listed);
+        // It may carry out orders that fitted its predecessor.
+        let peak = self.fleet.get(old).peak_capacity;
+        let server = self.fleet.get_mut(new);
+        server.peak_capacity = server.peak_capacity.max(peak);
+        server.resized_at = cx.now();
         let verified = self.fleet.get(old).verified_at;
         let runs = self.fleet.get(old).runs.iter().copied();
         let uncertain: Vec<RunRef> = runs
@@ -305,6 +316,9 @@
             self.roster.mark_changed(&server.listing.id);
         }
         if resized {
+            if server.resized(cx.now()) {
+                self.roster.mark_changed(&server.listing.id);
+            }
             let capacity = server.listing.capacity;
             cx.log(Notice::ServerResized {
                 server: server.listing.id.clone(),
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -757,7 +757,7 @@
         }
         let capacities = self
             .inherited_servers()
-            .map(|ix| self.fleet.get(ix).listing.capacity);
+            .map(|ix| self.fleet.get(ix).peak_capacity);
         capacities.fold(Resources::ZERO, Resources::plus)
     }
 
@@ -780,7 +780,7 @@
             _ if !self.recovery.tables_loaded => true,
             None => true,
             Some(true) => false,
-            Some(false) => servers.any(|ix| each.fits(&self.fleet.get(ix).listing.capacity)),
+            Some(false) => servers.any(|ix| each.fits(&self.fleet.get(ix).peak_capacity)),
         }
     }
 }
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::{Row, Transaction};
+use model::{Resources, Row, Transaction};
 
 use crate::commit::{put, remove};
 use crate::event::{CallId, Effect, Listing, StoreError, StoreResponse, live_value};
@@ -36,8 +36,8 @@
 struct RosterWrite {
     call: CallId,
     chunks: BTreeSet<ChunkId>,
-    /// Backend servers that the written rows list.
-    listed: Vec<ServerIx>,
+    /// Backend servers that the written rows list, with the capacity there.
+    listed: Vec<(ServerIx, Resources)>,
 }
 
 /// Changed chunks of the roster, and the write in flight.
@@ -74,15 +74,16 @@
         let mut entries: BTreeMap<ChunkId, Vec<RosterEntry>> = BTreeMap::new();
         let mut listed = Vec::new();
         for ix in self.fleet.live() {
-            let listing = &self.fleet.get(ix).listing;
+            let server = self.fleet.get(ix);
+            let (listing, capacity) = (&server.listing, server.peak_capacity);
             let chunk = chunk_of(&listing.id);
             if chunks.contains(&chunk) {
-                listed.push(ix);
+                listed.push((ix, capacity));
                 entries.entry(chunk).or_default().push(RosterEntry {
                     id: listing.id.clone(),
                     incarnation: listing.incarnation,
                     address: listing.address.clone(),
-                    capacity: listing.capacity,
+                    capacity,
                 });
             }
         }
@@ -130,9 +131,11 @@
                     let rewritten = write.chunks.contains(&chunk_of(&server.listing.id));
                     server.in_stored_roster &= !rewritten;
                 }
-                for ix in write.listed {
+                self.place_due = true;
+                for (ix, capacity) in write.listed {
                     let server = self.fleet.get_mut(ix);
                     server.in_stored_roster = true;
+                    server.stored_capacity = capacity;
                     if server.state == ServerState::Discovered {
                         server.state = ServerState::InRoster;
                     }
@@ -195,10 +198,15 @@
         };
         let unlisted = self.recovery.registry_loaded && !self.fleet.get(ix).listed;
         let server = self.fleet.get_mut(ix);
+        if !server.listing.capacity.fits(&entry.capacity) {
+            self.roster.mark_changed(&server.listing.id);
+        }
         server.unlisted_at = unlisted.then_some(now);
         server.inherited = true;
         server.in_inherited_roster = true;
         server.in_stored_roster = true;
+        server.stored_capacity = entry.capacity;
+        server.peak_capacity = server.peak_capacity.max(entry.capacity);
         server.state = ServerState::InRoster;
     }
 }
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -84,8 +84,8 @@
     pub(crate) id: Name,
     pub(crate) incarnation: u64,
     pub(crate) address: Name,
-    /// Resources of the whole backend server. While its runs are unknown, they count
-    /// in full against every team's limit.
+    /// The largest capacity that it is known to have had. While its runs are unknown, it
+    /// counts in full against every team's limit.
     pub(crate) capacity: Resources,
 }
 
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a single entry VM against simulated responses of the table service,
 //! the registry, the backend servers and the external admission policy.
 
+mod capacity;
 mod harness;
 mod losses;
 mod rows;
--- a/crates/sched/tests/owner/takeover.rs
+++ b/crates/sched/tests/owner/takeover.rs
@@ -251,6 +251,22 @@
     assert!(!successor.starts.is_empty(), "{:?}", successor.notices);
 }
 
+/// Guards against a second run of a task that the predecessor started unrecorded, on a
+/// server that has shrunk below the task's size since.
+#[test]
+fn an_unrecorded_run_may_exist_on_a_server_that_has_shrunk() {
+    let mut owner = owner_with_unrecorded_run_on_last(Duration::from_secs(1));
+    owner.listings[2].capacity = Resources::of(500, 65_536, 0, 0);
+    let mut successor = successor_without_last("follower", &owner);
+
+    grant_for(&mut successor, &["one", "two"], Duration::from_secs(2));
+    let while_leased = successor.starts.len();
+    grant_for(&mut successor, &["one", "two"], Duration::from_secs(5));
+
+    assert_eq!(while_leased, 0, "{:?}", successor.notices);
+    assert!(!successor.starts.is_empty(), "{:?}", successor.notices);
+}
+
 /// Guards against a fleet that stands idle for one backend server that has left: a
 /// task that has no room there can't run there. Only the others wait.
 #[test]
