Notice by its clock that another incarnation answered a start

What callers could see: a completed task runs again, or one more often than its attempts allow.

Cause: the response to a start names no incarnation, and was taken as one of the known.

Change: the clock in the response is compared with the last reading that had arrived before the start was sent. It can't be earlier at the same incarnation. If it is, the lists are requested at once and nothing is acknowledged until they name the incarnation.

A server whose former incarnation was up for a shorter time than the next one is not told apart; nor is a renewal that is sent between the start and its answer.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -99,6 +99,9 @@
     /// A renewal that acknowledges ends was sent with the current token and may still
     /// be executed.
     acknowledgement_pending: bool,
+    /// True when another incarnation has answered, by its clock, until the lists say which:
+    /// ends that it lists have not been handled, so none are acknowledged.
+    pub(crate) incarnation_doubted: bool,
     /// True when it may run tasks of an earlier owner that are not yet known.
     pub(crate) inherited: bool,
     /// Last reading of its clock in ms, and the local time of its arrival.
@@ -162,6 +165,7 @@
             state: ServerState::Discovered,
             token_number: 0,
             acknowledgement_pending: false,
+            incarnation_doubted: false,
             inherited: false,
             clock: None,
             max_lease_end: 0,
@@ -258,6 +262,13 @@
         grown
     }
 
+    /// True when the response to an order that was sent at `sent_at` shows an earlier clock
+    /// than one that had arrived before, so that another incarnation has sent it.
+    pub(crate) fn is_clock_reset(&self, clock: u64, sent_at: Duration) -> bool {
+        let earlier = |(known, at): (u64, Duration)| at <= sent_at && clock < known;
+        self.clock.is_some_and(earlier)
+    }
+
     /// Records the clock reading of a response that arrived at `now`.
     pub(crate) fn observe_clock(&mut self, clock: u64, now: Duration) {
         self.last_answer_at = now;
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -115,7 +115,7 @@
         };
         // An unresponsive server may come back as another incarnation, whose ended
         // runs have not been handled, so none are acknowledged.
-        let acknowledged = match server.unresponsive {
+        let acknowledged = match server.unresponsive || server.incarnation_doubted {
             true => 0,
             false => server.acknowledged_end,
         };
@@ -240,6 +240,7 @@
         server.verified_at = sent_at;
         server.observe_clock(lists.clock, now);
         server.unresponsive = false;
+        server.incarnation_doubted = false;
         server.silent_since = None;
         let first = server.state == ServerState::InRoster;
         server.state = ServerState::Held;
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -189,7 +189,13 @@
     }
 
     fn start_confirmed(&mut self, run: RunRef, server: ServerIx, clock: u64, cx: &mut Cx<'_>) {
-        self.fleet.get_mut(server).observe_clock(clock, cx.now());
+        let sent_at = self.ledger.runs.get(&run).map(|placed| placed.ordered_at);
+        let entry = self.fleet.get_mut(server);
+        if sent_at.is_some_and(|at| entry.is_clock_reset(clock, at)) {
+            entry.incarnation_doubted = true;
+            entry.request_lists(cx.now());
+        }
+        entry.observe_clock(clock, cx.now());
         if let Some(placed) = self.ledger.runs.get_mut(&run) {
             placed.confirmed = true;
             placed.confirmed_at = cx.now();
--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -152,6 +152,15 @@
     }
 }
 
+/// Guards against an acknowledgement that was meant for one incarnation and drops the end
+/// of a run that the next one, unknown to the owner, has started.
+#[test]
+fn a_start_that_the_next_incarnation_answers_does_not_lose_its_end() {
+    for seed in [763, 2338] {
+        assert_guarantees_hold(seed, &[Fault::HastyLeavers, Fault::LeavingServers]);
+    }
+}
+
 /// Guards against giving up tasks because backend servers lose power under them.
 #[test]
 fn tasks_on_servers_that_lose_power_together_are_not_given_up() {
