--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -317,13 +317,17 @@
         let is_suspect = |index: &TaskIndex| self.is_suspect(ranked.step.task(*index));
         let (suspects, others): (Vec<TaskIndex>, Vec<TaskIndex>) =
             waiting.iter().partition(|index| is_suspect(index));
-        let for_others = candidates
-            .iter()
-            .filter(|(ix, _)| !pool.withheld.contains(ix));
-        let for_others: Vec<(ServerIx, Candidate)> = for_others.copied().collect();
-        let plan = match others.is_empty() {
-            true => Plan::new(),
-            false => self.plan_step(ranked.step, spec, &others, &for_others),
+        let plan = match () {
+            () if others.is_empty() => Plan::new(),
+            () if pool.withheld.is_empty() => {
+                self.plan_step(ranked.step, spec, &others, &candidates)
+            }
+            () => {
+                let free = candidates.iter();
+                let free = free.filter(|(ix, _)| !pool.withheld.contains(ix));
+                let free: Vec<(ServerIx, Candidate)> = free.copied().collect();
+                self.plan_step(ranked.step, spec, &others, &free)
+            }
         };
         let complete = plan.len() == others.len();
         let mut planned = match !spec.gang || complete {
