Give up tasks after fewer losses, and fewer still after a term that left no records

Cause: the predecessor started the task and knew of its crashes without a record. Its successor gave the task four starts more, which left room for one loss that it did not know.

Change: a task is given up after three losses of which two are attributed to it, or five of any kind. An inherited task of a term whose records may be incomplete is given up after two losses of which one is attributed, or three, since three servers may have crashed before.

--- a/crates/sched/src/losses.rs
+++ b/crates/sched/src/losses.rs
@@ -18,12 +18,29 @@
 use crate::notice::Notice;
 use crate::owner::{Cx, Owner};
 
-/// Losses attributed to a task after which it is given up. Backend servers may lose
-/// power within a probation, so fewer prove little.
-const MAX_ATTRIBUTED: usize = 3;
-/// Losses of any kind after which a task is given up: a task that crashes its servers
-/// must not start more than twice after three of them have crashed.
-const MAX_LOSSES: usize = 5;
+/// When a task is given up: after so many losses of any kind, or after fewer of which
+/// some are attributed to it.
+struct Limit {
+    losses: usize,
+    attributed: usize,
+    losses_with_attributed: usize,
+}
+
+/// A task that crashes its servers must not start more than twice after three of them
+/// have crashed. Servers may lose power within a probation, so that one attributed loss
+/// proves little.
+const LIMIT: Limit = Limit {
+    losses: 5,
+    attributed: 2,
+    losses_with_attributed: 3,
+};
+/// Limit for tasks whose losses in an earlier term are not known in full: three of their
+/// servers may have crashed in it.
+const LIMIT_AFTER_UNKNOWN: Limit = Limit {
+    losses: 3,
+    attributed: 1,
+    losses_with_attributed: 2,
+};
 /// Losses of any kind that make a task a suspect.
 const SUSPECT_LOSSES: usize = 2;
 /// Probation of a suspect's first start apart; most tasks that crash their server do so
@@ -90,8 +107,10 @@
     }
 
     /// True when the task is to be given up.
-    pub(crate) fn is_conclusive(&self) -> bool {
-        self.attributed() >= MAX_ATTRIBUTED || self.0.len() >= MAX_LOSSES
+    fn exceeds(&self, limit: &Limit) -> bool {
+        let losses = self.0.len();
+        let attributed = self.attributed() >= limit.attributed;
+        losses >= limit.losses || (attributed && losses >= limit.losses_with_attributed)
     }
 
     /// Time from a start for which its backend server takes no other.
@@ -261,9 +280,14 @@
     /// Notes the loss of a run, and returns its task if that is to be given up.
     pub(crate) fn note_loss(&mut self, run: RunRef, evidence: Evidence) -> Option<TaskRef> {
         let holder = self.loss_holder(run.task);
+        let inherited = self.ledger.jobs.get(&run.task.step.job)?.inherited;
+        let limit = match inherited && self.recovery.lacks_records() {
+            true => LIMIT_AFTER_UNKNOWN,
+            false => LIMIT,
+        };
         let task = self.ledger.task_mut(holder).filter(|task| !task.done)?;
         task.losses.note(run.number, evidence);
-        task.losses.is_conclusive().then_some(holder)
+        task.losses.exceeds(&limit).then_some(holder)
     }
 
     /// Withdraws the loss of a run whose end was listed. The end of a gang member says
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -135,6 +135,11 @@
         self.prior_orders_until.is_none_or(|until| now < until)
     }
 
+    /// True when the records of an earlier owner may lack runs and losses.
+    pub(crate) fn lacks_records(&self) -> bool {
+        self.records_trusted == Some(false)
+    }
+
     /// When no order of an earlier owner can be in effect any more; `None` while that
     /// is unknown.
     pub(crate) fn prior_orders_until(&self) -> Option<Duration> {
--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -152,6 +152,13 @@
     }
 }
 
+/// Guards against a successor that begins to count anew after a term of which the records
+/// lack runs and crashes.
+#[test]
+fn crashes_that_no_record_shows_do_not_multiply_the_starts() {
+    assert_guarantees_hold(6058, &[Fault::CrashingTasks, Fault::LongRecovery]);
+}
+
 /// Guards against an acknowledgement that was meant for one incarnation and drops the end
 /// of a run that the next one, unknown to the owner, has started.
 #[test]
