Attribute a crash only to a start that its incarnation has confirmed

What callers could see: a job fails though none of its tasks crashes anything.

Cause: a crash was attributed if its server had answered since the start was sent. The answer could be the next incarnation's, to a stop of the same run; the server was down when the start was sent.

Change: the run itself must have been confirmed, and no answer with an earlier clock seen.

--- a/crates/sched/src/losses.rs
+++ b/crates/sched/src/losses.rs
@@ -217,7 +217,8 @@
     }
 
     /// True when a suspect's start is the only recent one before the crash of its backend
-    /// server, which was up when the start was sent.
+    /// server, and that incarnation has confirmed it. An answer to another order may come
+    /// from the next incarnation.
     fn caused_crash(
         &self,
         ix: ServerIx,
@@ -239,7 +240,8 @@
         let mut others = server.runs.iter().filter(|other| !is_same(other));
         self.is_suspect(run.task)
             && self.is_on_probation(run, ix, silent_at)
-            && server.last_answer_at >= placed.ordered_at
+            && placed.confirmed
+            && !server.incarnation_doubted
             && others.all(started_long_before)
     }
 
--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -174,6 +174,8 @@
     for seed in SEEDS {
         assert_guarantees_hold(seed, &[Fault::PowerLosses]);
     }
+    assert_guarantees_hold(5497, &[Fault::PowerLosses, Fault::StoreLost]);
+    assert_guarantees_hold(5674, &[Fault::CrashingTasks, Fault::PowerLosses]);
 }
 
 /// Guards against starts that bring a backend server over a capacity that has shrunk.
