--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -178,6 +178,13 @@
     assert_guarantees_hold(5674, &[Fault::CrashingTasks, Fault::PowerLosses]);
 }
 
+/// Guards against a suspect that starts in the rack of its last loss again, because only the
+/// servers that have just restarted there have settled.
+#[test]
+fn a_suspect_avoids_a_rack_that_loses_power_again_and_again() {
+    assert_guarantees_hold(120, &[Fault::PowerLosses, Fault::KillAll]);
+}
+
 /// Guards against starts that bring a backend server over a capacity that has shrunk.
 #[test]
 fn a_start_does_not_exceed_a_capacity_that_has_shrunk() {
