--- a/review/standin.py
+++ b/review/standin.py
@@ -793,24 +793,24 @@
     record(f"TROUBLE={int(trouble)}")
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
+    def finish(code):
+        text = {0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code]
+        record(text)
+        print(text, flush=True)
+        os._exit(code)
+
     async def limited():
-        cells = []
+        cells, code = [], 2
         try:
             async with asyncio.timeout(115):
-                return await scenario(record, trouble, cells)
+                code = await scenario(record, trouble, cells)
         except TimeoutError:
             record("the script took too long")
-            return 2
+        except Exception as error:
+            record(f"could not run: {error!r}")
         finally:
             for cell in cells:
                 cell.stop()
+        finish(code)
 
-    try:
-        code = asyncio.run(limited())
-    except Exception as error:  # The case could not be run.
-        record(f"could not run: {error!r}")
-        code = 2
-    text = {0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code]
-    record(text)
-    print(text)
-    os._exit(code)
+    asyncio.run(limited())
