--- a/review/standin.py
+++ b/review/standin.py
@@ -369,6 +369,7 @@
         self.token = 0
         self.until = 0
         self.cut = False
+        self.leave_unanswered = None  # A script's function of a call: True for no answer
         self.ended = asyncio.Event()
 
     def clock(self):
@@ -429,7 +430,9 @@
         if self.cut:
             await asyncio.sleep(30)
             return None
-        self.fleet.calls += 1
+        if self.leave_unanswered is not None and self.leave_unanswered(self, target, body):
+            await asyncio.sleep(30)
+            return None
         self.advance()
         value = json.loads(body) if body else {}
         clock = {"ClockMs": self.clock()}
@@ -517,7 +520,6 @@
         self.record = record
         self.executors = []
         self.starts, self.ends = [], []
-        self.calls = 0
         self.work_of = lambda task, number: (1.0, "done")
         self.saves_of = lambda task: False
         self.gang_of = lambda task: 0  # Number of members; 0 for a task of its own
