--- a/review/standin.py
+++ b/review/standin.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -748,6 +749,7 @@
             task.cancel()
         for vm in self.vms:
             vm.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
         self.record("all processes ended")
 
 
