Attribute failures to jobs that fail everywhere, and end every probation

Cause: a failed run counted against its server whatever its job did elsewhere, and a server on probation took work only when it ran nothing. Failures of runs started before a quarantine doubled it as well, and one pass could place several tasks on a server that takes one at a time.

Now a failure counts against the server until its task, or all that was started of its step, has failed on several servers; then the failures of that job are withdrawn. Servers on which something has failed since their last completion don't speak against a job while another server is known to be sound, so a fleet of which most servers fail is still told from jobs that fail. On probation a server takes a probe at a time beside what it runs, and a probe holds up the next one for 2 s at most. The product's engine shares the record and had both faults.

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -403,17 +403,19 @@
         }
     }
 
-    /// Makes workers available again whose quarantine has ended.
+    /// Makes workers available again that accept tasks after a quarantine or beside a
+    /// probe that lasts. They stay in the list for as long as they are on probation.
     fn release_quarantined(&mut self) {
         let mut index = 0;
-        while index < self.quarantined.len() {
-            let worker = self.quarantined[index];
-            let until = self.workers[worker as usize].health.quarantined_until_ms();
-            if until.is_none_or(|t| t <= self.now_ms) {
-                self.quarantined.swap_remove(index);
+        while let Some(worker) = self.quarantined.get(index).copied() {
+            let entry = &self.workers[worker as usize];
+            let accepts_at_ms = entry.health.accepts_at_ms(entry.last_start_ms());
+            match accepts_at_ms {
+                None => drop(self.quarantined.swap_remove(index)),
+                Some(_) => index += 1,
+            }
+            if accepts_at_ms.is_none_or(|at| at <= self.now_ms) {
                 self.update_tree_and_unblock(worker);
-            } else {
-                index += 1;
             }
         }
     }
--- a/crates/policy/src/finish.rs
+++ b/crates/policy/src/finish.rs
@@ -63,12 +63,14 @@
             Outcome::Completed => {
                 job.completed += 1;
                 self.estimates.record(job.class, ran_ms);
-                self.workers[worker as usize].health.record_completion();
+                self.workers[worker as usize]
+                    .health
+                    .record_completion(self.now_ms);
                 return;
             }
             Outcome::Interrupted if task.stopping => job.preemptions += 1,
             Outcome::Interrupted => {}
-            Outcome::Failed => self.record_failure(worker, task.job, task.attempt),
+            Outcome::Failed => self.record_failure(worker, task),
         }
         let job = &mut self.queues.jobs[task.job as usize];
         if !job.ended {
@@ -77,11 +79,10 @@
         }
     }
 
-    fn record_failure(&mut self, worker: WorkerId, job: JobRef, attempt: Attempt) {
-        let now_ms = self.now_ms;
-        if self.workers[worker as usize]
-            .health
-            .record_failure(job, now_ms)
+    fn record_failure(&mut self, worker: WorkerId, task: &Task) {
+        let (job, attempt) = (task.job, task.attempt);
+        let health = &mut self.workers[worker as usize].health;
+        if health.record_failure(job, task.started_ms, self.now_ms)
             && !self.quarantined.contains(&worker)
         {
             self.quarantined.push(worker);
@@ -97,8 +98,8 @@
         }
     }
 
-    /// Fails the jobs in `broken_jobs`, and clears the failure records of workers on
-    /// which no other job has failed.
+    /// Fails the jobs in `broken_jobs`, and drops their failures from the records of the
+    /// workers.
     pub(crate) fn fail_broken_jobs(&mut self, out: &mut Vec<Decision>) {
         while let Some(job) = self.broken_jobs.pop() {
             if self.queues.jobs[job as usize].ended {
--- a/crates/policy/src/fit.rs
+++ b/crates/policy/src/fit.rs
@@ -26,6 +26,10 @@
     pub best_effort_tasks: u32,
     /// True when the task has failed on this backend server before.
     pub failed_before: bool,
+    /// True when tasks have failed on the backend server since one last completed.
+    pub suspected: bool,
+    /// True when the backend server takes one task at a time.
+    pub on_probation: bool,
 }
 
 /// How a task uses processor time, and for how long it runs.
@@ -42,6 +46,9 @@
 /// Cost of a backend server on which the task failed before. It outweighs any
 /// load, so such a server is used only as a last resort.
 const FAILED_BEFORE_PENALTY: f64 = 100.0;
+/// Cost of a backend server on which tasks have failed since one last completed, whatever
+/// the failures are attributed to. It outweighs half of the server's load.
+const SUSPICION_PENALTY: f64 = 0.25;
 /// Cost per co-located task that interferes: long-running and best-effort tasks
 /// are kept apart.
 const INTERFERENCE_PENALTY: f64 = 3.0;
@@ -83,11 +90,17 @@
     } else {
         0.0
     };
+    let suspicion_penalty = if candidate.suspected {
+        SUSPICION_PENALTY
+    } else {
+        0.0
+    };
     Some(
         runtime
             + LOAD_WEIGHT * load
             + accelerator_penalty
             + INTERFERENCE_PENALTY * f64::from(interfering_tasks)
-            + failure_penalty,
+            + failure_penalty
+            + suspicion_penalty,
     )
 }
--- a/crates/policy/src/worker.rs
+++ b/crates/policy/src/worker.rs
@@ -55,11 +55,16 @@
     pub(crate) fn available(&self, now_ms: u64) -> Resources {
         match self {
             w if w.state != WorkerState::Active => Resources::ZERO,
-            w if !w.health.accepts_tasks(now_ms, w.tasks.len()) => Resources::ZERO,
+            w if !w.health.accepts_tasks(now_ms, w.last_start_ms()) => Resources::ZERO,
             w => w.free.minus(w.reserved),
         }
     }
 
+    /// When the last of its running attempts was started.
+    pub(crate) fn last_start_ms(&self) -> Option<u64> {
+        self.tasks.iter().map(|task| task.started_ms).max()
+    }
+
     /// Replaces the reservation; `None` clears it.
     pub(crate) fn reserve(&mut self, reservation: Option<(JobRef, Resources)>) {
         self.reserved_for = reservation.map(|(job, _)| job);
--- a/crates/policy/tests/engine.rs
+++ b/crates/policy/tests/engine.rs
@@ -321,3 +321,62 @@
         "no other worker has room"
     );
 }
+
+/// Guards against a probation that never ends beside a task that never ends, which was on
+/// the worker before or is itself the probe.
+#[test]
+fn a_worker_on_probation_takes_tasks_beside_a_service() {
+    for is_probe in [false, true] {
+        let (mut engine, team, other) = engine(1, 8);
+        let service = request(other, WorkKind::Service, 1, 1);
+        if !is_probe {
+            engine.submit(&service, &[], 1);
+        }
+        place(&mut engine, 1);
+        let failing_job = request(team, WorkKind::Batch, 1, 1);
+        let failing_jobs = [1, 2].map(|now_ms| engine.submit(&failing_job, &[], now_ms));
+        let failing = place(&mut engine, 300);
+        end_all(&mut engine, &failing, Outcome::Failed, 400);
+        let held_back = place(&mut engine, 1_000);
+        assert!(held_back.is_empty(), "{held_back:?}");
+        failing_jobs.map(|job| engine.cancel(job, &mut Vec::new()));
+        if is_probe {
+            engine.submit(&service, &[], 5_000);
+        }
+        place(&mut engine, 6_000);
+
+        let good = engine.submit(&request(team, WorkKind::Batch, 1, 1), &[], 9_000);
+        let decisions = place(&mut engine, 9_000);
+
+        assert_eq!(
+            starts_of(&decisions, good),
+            1,
+            "the probe lasts: {is_probe}"
+        );
+    }
+}
+
+/// Guards against workers that stay quarantined after two jobs that failed on all of them
+/// were found to be broken: neither was the only one that had failed there.
+#[test]
+fn several_broken_jobs_fail_without_quarantining_workers() {
+    let (mut engine, team, other) = engine(6, 2);
+    for _ in 0..2 {
+        engine.submit(&request(team, WorkKind::Batch, 6, 1), &[], 1);
+    }
+    let mut failed = 0;
+    for round in 0..200_u64 {
+        let now_ms = 500 * (round + 1);
+        let decisions = place(&mut engine, now_ms);
+        let fails = |d: &&Decision| matches!(d, Decision::Fail { .. });
+        failed += decisions.iter().filter(fails).count();
+        if failed == 2 {
+            let good = engine.submit(&request(other, WorkKind::Batch, 12, 1), &[], now_ms);
+            let decisions = place(&mut engine, now_ms);
+            assert_eq!(starts_of(&decisions, good), 12, "no worker is quarantined");
+            return;
+        }
+        end_all(&mut engine, &decisions, Outcome::Failed, now_ms + 1);
+    }
+    panic!("both jobs should fail");
+}
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -47,15 +47,18 @@
         if placed.is_none() {
             self.log_unexpected_end(run, server, finished.outcome, cx);
         }
-        self.update_health(server, run, finished.outcome, cx);
         self.save_checkpoint(task, &finished.checkpoint);
         self.mark_dirty_lazily(task.step.job, cx.now());
         match finished.outcome {
             RunOutcome::Completed => {
                 let ran = placed.map(|placed| (placed.server, ran));
+                self.fleet
+                    .get_mut(server)
+                    .health
+                    .record_completion(ms(cx.now()));
                 self.task_completed(task, ran, cx);
             }
-            RunOutcome::Failed => self.run_failed(run, server, cx),
+            RunOutcome::Failed => self.run_failed(run, server, ordered_at, cx),
             RunOutcome::Stopped
             | RunOutcome::Lapsed
             | RunOutcome::GangMemberEnded
@@ -95,32 +98,6 @@
         accounts::release(ledger, fleet, &mut owner.accounts, run, cx.now())
     }
 
-    /// Updates the health record of a backend server. Outcomes other than completion
-    /// and failure say nothing about it.
-    fn update_health(
-        &mut self,
-        server: ServerIx,
-        run: RunRef,
-        outcome: RunOutcome,
-        cx: &mut Cx<'_>,
-    ) {
-        let now_ms = cx.now().as_millis() as u64;
-        let entry = self.fleet.get_mut(server);
-        match outcome {
-            RunOutcome::Completed => entry.health.record_completion(),
-            RunOutcome::Failed => {
-                if entry.health.record_failure(run.task.step.job, now_ms) {
-                    let server = entry.listing.id.clone();
-                    cx.log(Notice::ServerHeldBack { server });
-                }
-            }
-            RunOutcome::Stopped
-            | RunOutcome::Lapsed
-            | RunOutcome::GangMemberEnded
-            | RunOutcome::GangIncomplete => {}
-        }
-    }
-
     /// Stores a task's checkpoint. A gang has one checkpoint, held by its first
     /// task.
     pub(crate) fn save_checkpoint(&mut self, task: TaskRef, checkpoint: &Name) {
@@ -157,6 +134,7 @@
         let Some(state) = self.ledger.step_mut(task.step) else {
             return;
         };
+        state.at_fault = false;
         for (index, entry) in state.tasks.iter_mut().enumerate() {
             let ends = gang || index == task.index as usize;
             if ends && !entry.done {
@@ -195,31 +173,46 @@
         }
     }
 
-    fn run_failed(&mut self, run: RunRef, server: ServerIx, cx: &mut Cx<'_>) {
+    fn run_failed(&mut self, run: RunRef, server: ServerIx, started_at: Duration, cx: &mut Cx<'_>) {
         let task = run.task;
         let Some(spec) = self.ledger.spec(task.step) else {
             return;
         };
         let (gang, long_running) = (spec.gang, spec.long_running);
-        let counted = match gang {
+        let holder = match gang {
             true => task.step.task(0),
             false => task,
         };
-        if long_running {
-            return; // A long-running task is started again.
+        match long_running {
+            true => self.note_failed_on(holder, server, started_at, cx), // It is started again.
+            false => self.count_attempt(holder, run, server, started_at, cx),
         }
-        let Some(entry) = self.ledger.task_mut(counted) else {
+        self.attribute_failure(holder, server, started_at, cx);
+    }
+
+    /// Counts a failed attempt of a task or gang, and ends the job after the last one. All
+    /// members of a gang report the same failure, and an ended run may be listed twice.
+    fn count_attempt(
+        &mut self,
+        holder: TaskRef,
+        run: RunRef,
+        server: ServerIx,
+        started_at: Duration,
+        cx: &mut Cx<'_>,
+    ) {
+        let Some(entry) = self.ledger.task_mut(holder) else {
             return;
         };
-        entry.last_failed_on = Some(server);
-        // All members of a gang report the same failure, and an ended run may be
-        // listed twice.
-        if !entry.failures.contains(&run.number) {
+        let is_new = !entry.failures.contains(&run.number);
+        if is_new {
             entry.failures.push(run.number);
         }
         let failures = entry.failures.len() as u32;
-        match failures >= self.max_attempts(task.step.job, cx) {
-            true => self.finish_job(task.step.job, Stage::Failed, cx),
+        if is_new {
+            self.note_failed_on(holder, server, started_at, cx);
+        }
+        match failures >= self.max_attempts(holder.step.job, cx) {
+            true => self.finish_job(holder.step.job, Stage::Failed, cx),
             false => self.stop_gang(run, cx),
         }
     }
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -13,6 +13,7 @@
 use crate::commit::Change;
 use crate::event::{CallId, Listing};
 use crate::ledger::RunRef;
+use crate::notice::ms;
 use crate::partition::PartitionId;
 use crate::settings::Timing;
 
@@ -319,7 +320,7 @@
             && now >= self.unhealthy_until
             && self
                 .health
-                .accepts_tasks(now.as_millis() as u64, self.runs.len())
+                .accepts_tasks(ms(now), Some(ms(self.last_start_at)))
     }
 }
 
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::event::CallId;
+use crate::failures::FailedOn;
 use crate::fleet::ServerIx;
 use crate::losses::Losses;
 use crate::partition::PartitionId;
@@ -122,8 +123,9 @@
     pub(crate) last_run_number: Attempt,
     /// When a run of it last ended.
     pub(crate) last_ended_at: Duration,
-    /// Backend server of its most recent failed run; placement avoids it.
-    pub(crate) last_failed_on: Option<ServerIx>,
+    /// Backend servers on which runs of it have failed. Those of a gang are kept at its
+    /// first task, one for each failed attempt.
+    pub(crate) failed_on: FailedOn,
     /// Backend server of the most recent run in `losses`.
     pub(crate) last_lost_on: Option<ServerIx>,
 }
@@ -161,6 +163,11 @@
     pub(crate) tasks: Vec<Task>,
     /// Number of completed tasks.
     pub(crate) done_count: u32,
+    /// Backend servers on which tasks of it have failed.
+    pub(crate) failed_on: FailedOn,
+    /// True when its failures say nothing about backend servers, until a task of it
+    /// completes.
+    pub(crate) at_fault: bool,
     /// When a placement pass first found the step ready to start.
     pub(crate) ready_since: Option<Duration>,
     pub(crate) admission: AdmissionState,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -21,6 +21,7 @@
 pub(crate) mod drain;
 pub(crate) mod ends;
 pub(crate) mod event;
+pub(crate) mod failures;
 pub(crate) mod fence;
 pub(crate) mod fleet;
 pub(crate) mod forecast;
--- a/crates/sched/src/losses.rs
+++ b/crates/sched/src/losses.rs
@@ -146,7 +146,7 @@
     /// True when a task should not start on a backend server: it failed there, or it is a
     /// suspect and was lost in the same rack, whose servers may crash together.
     pub(crate) fn is_avoided(&self, task: TaskRef, ix: ServerIx) -> bool {
-        let failed_on = self.ledger.task(task).and_then(|task| task.last_failed_on);
+        let failed_on = self.ledger.task(task).and_then(|task| task.failed_on.last);
         let holder = self.ledger.task(self.loss_holder(task));
         let suspect = holder.filter(|task| task.losses.is_suspect());
         let lost_on = suspect.and_then(|task| task.last_lost_on);
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -137,6 +137,15 @@
     /// A backend server failed tasks of several jobs and gets no new work for a
     /// while.
     ServerHeldBack { server: Name },
+    /// A step fails wherever it runs, so its job's failures no longer count against
+    /// backend servers.
+    StepAtFault {
+        job: Name,
+        /// Occurrence and step.
+        step: Name,
+        /// Number of backend servers that are not held back any more.
+        released: u32,
+    },
     /// The capacity of a backend server changed while it runs.
     ServerResized {
         server: Name,
@@ -311,6 +320,7 @@
             Self::ServerHeldBack { .. } => 354,
             Self::ListsUnused { .. } => 355,
             Self::ServerResized { .. } => 356,
+            Self::StepAtFault { .. } => 357,
             Self::Start { .. } => 360,
             Self::StartRejected { .. } => 361,
             Self::StartLost { .. } => 362,
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -99,7 +99,10 @@
 
     fn allocate(&mut self, ix: ServerIx, each: Resources) {
         if let Some(candidate) = self.find_mut(ix) {
-            candidate.free = candidate.free.minus(each);
+            candidate.free = match candidate.on_probation {
+                true => Resources::ZERO,
+                false => candidate.free.minus(each),
+            };
         }
     }
 }
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -112,7 +112,10 @@
             let Some((_, (ix, candidate, placed))) = best else {
                 break;
             };
-            candidate.free = candidate.free.minus(each);
+            candidate.free = match candidate.on_probation {
+                true => Resources::ZERO,
+                false => candidate.free.minus(each),
+            };
             candidate.best_effort_tasks += u32::from(spec.best_effort_cpu);
             *placed += 1;
             plan.push((*index, *ix));
@@ -235,6 +238,8 @@
             long_running_tasks,
             best_effort_tasks,
             failed_before: false,
+            suspected: server.health.is_suspected(),
+            on_probation: server.health.is_on_probation(),
         }
     }
 }
--- a/crates/sched/tests/owner/harness.rs
+++ b/crates/sched/tests/owner/harness.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use model::{
-    Attempt, Cell, Epoch, Graph, JobId, Name, Resources, Row, RunKey, Step, TaskId, Transaction,
-    key,
+    Attempt, Cell, Epoch, Graph, JobId, Name, Resources, Row, RunKey, RunOutcome, Step, TaskId,
+    Transaction, key,
 };
 use sched::{
     AdmissionPolicy, ApiRequest, CallId, ChangeFeed, Config, Effect, Event, Finished, Listing,
@@ -113,6 +113,34 @@
     LostInTerm,
 }
 
+/// Runs on a backend server that carries out the starts and stops it is told.
+#[derive(Default)]
+pub(crate) struct ServerLists {
+    pub(crate) running: Vec<Progress>,
+    pub(crate) finished: Vec<Finished>,
+}
+
+impl ServerLists {
+    /// Ends the runs that `ends` selects.
+    pub(crate) fn end<P>(&mut self, outcome: RunOutcome, ends: P)
+    where
+        P: Fn(&RunKey) -> bool,
+    {
+        let running = std::mem::take(&mut self.running);
+        for progress in running {
+            match ends(&progress.run) {
+                true => self.finished.push(Finished {
+                    number: self.finished.len() as u64 + 1,
+                    run: progress.run,
+                    outcome,
+                    checkpoint: Name::default(),
+                }),
+                false => self.running.push(progress),
+            }
+        }
+    }
+}
+
 /// The node under test, the simulated time, and the effects that are recorded
 /// instead of answered at once.
 pub(crate) struct Harness {
@@ -160,6 +188,10 @@
     pub(crate) incarnation: u64,
     /// Runs that the backend server `server` lists as running.
     pub(crate) running: Vec<Progress>,
+    /// Backend servers that carry out starts and stops, by id.
+    pub(crate) fleet: BTreeMap<Name, ServerLists>,
+    /// Starts that they have carried out, in order.
+    pub(crate) placements: Vec<(Name, RunKey)>,
     /// Latency of a write; writes with a shorter timeout have an unknown outcome.
     pub(crate) store_latency: Duration,
     /// Number of applied writes of job states by the owner.
@@ -255,6 +287,8 @@
             job_scans: Vec::new(),
             incarnation: 1,
             running: Vec::new(),
+            fleet: BTreeMap::new(),
+            placements: Vec::new(),
             store_latency: Duration::ZERO,
             states_written: 0,
             submissions_lost: false,
@@ -480,6 +514,18 @@
                 let result = Err(OrderError::Lost);
                 self.deliver(Event::OrderAnswered { call, result });
             }
+            Effect::Order {
+                call,
+                order,
+                server,
+                ..
+            } if self.fleet.contains_key(&server)
+                && !matches!(*order, Order::RenewLease { .. }) =>
+            {
+                self.carry_out(&server, *order);
+                let result = Ok(OrderResponse::Done(self.clock()));
+                self.deliver(Event::OrderAnswered { call, result });
+            }
             Effect::Order {
                 call,
                 order,
@@ -546,10 +592,25 @@
         }
     }
 
+    fn carry_out(&mut self, server: &Name, order: Order) {
+        let Some(lists) = self.fleet.get_mut(server) else {
+            return;
+        };
+        match order {
+            Order::Start { run, .. } => {
+                self.placements.push((server.clone(), run.clone()));
+                lists.running.push(progress(run));
+            }
+            Order::Stop { run } => lists.end(RunOutcome::Stopped, |other| *other == run),
+            Order::RenewLease { .. } | Order::Pace { .. } => {}
+        }
+    }
+
     pub(crate) fn answer_renewal(&mut self, call: CallId, server: &str, finished: Vec<Finished>) {
-        let running = match server {
-            "server" => self.running.clone(),
-            _ => Vec::new(),
+        let (running, finished) = match (self.fleet.get(server), server) {
+            (Some(lists), _) => (lists.running.clone(), lists.finished.clone()),
+            (None, "server") => (self.running.clone(), finished),
+            (None, _) => (Vec::new(), finished),
         };
         let lists = RunLists {
             clock: self.clock(),
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -3,6 +3,7 @@
 
 mod capacity;
 mod harness;
+mod health;
 mod losses;
 mod rows;
 mod servers;
