Withdraw losses on backend servers that answer again, also for gangs

Cause: leases that lapse on a silent server counted as a loss, five of which give a task up. For single tasks the end, listed later, withdrew the loss; for gangs nothing did, nor for losses that a former owner had noted, nor for runs on servers that the registry no longer listed at a takeover.

Now a loss by silence is open until that incarnation answers, which withdraws it, or is known to have ended, which makes it final. An open loss does not give a task up; a task that would be given up with its open losses waits instead of starting, so that one that crashes its servers gains no starts. Open losses are kept in the state row, behind the losses.

--- a/crates/policy/tests/engine.rs
+++ b/crates/policy/tests/engine.rs
@@ -339,7 +339,9 @@
         end_all(&mut engine, &failing, Outcome::Failed, 400);
         let held_back = place(&mut engine, 1_000);
         assert!(held_back.is_empty(), "{held_back:?}");
-        failing_jobs.map(|job| engine.cancel(job, &mut Vec::new()));
+        for job in failing_jobs {
+            engine.cancel(job, &mut Vec::new());
+        }
         if is_probe {
             engine.submit(&service, &[], 5_000);
         }
--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -331,10 +331,11 @@
                 is_last,
             });
             let fleet = &self.fleet;
-            let record = self.ledger.record(ix, |server| {
+            let mut record = self.ledger.record(ix, |server| {
                 let listing = &fleet.get(server).listing;
                 (listing.id.clone(), listing.incarnation)
             });
+            record.open_losses = self.open_losses.of_job(ix);
             transaction.writes.push(put(key, record.encode()));
         }
         jobs
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -470,6 +470,15 @@
         self.step_mut(task.step)?.tasks.get_mut(task.index as usize)
     }
 
+    /// The task that holds the losses of a run: that of the run itself, or the first of
+    /// its gang, whose members are started and lost together.
+    pub(crate) fn loss_holder(&self, task: TaskRef) -> TaskRef {
+        match self.spec(task.step).is_some_and(|spec| spec.gang) {
+            true => task.step.task(0),
+            false => task,
+        }
+    }
+
     /// Resolves the id of a task. Creates the occurrence if needed, since a
     /// backend server may report a task of an occurrence that this owner has
     /// not created yet.
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -244,6 +244,7 @@
         server.silent_since = None;
         let first = server.state == ServerState::InRoster;
         server.state = ServerState::Held;
+        self.withdraw_open_losses(ix, cx);
         self.process_ends(ix, lists, cx);
         self.process_running(ix, lists, sent_at, cx);
         if first {
@@ -504,9 +505,8 @@
                 false => Vec::new(),
             };
             if !lapsed.is_empty() {
-                let given_up = self.note_lapses(ix, &lapsed, now);
+                self.note_lapses(ix, &lapsed, now);
                 self.end_runs(ix, lapsed, "leases expired", cx);
-                self.give_up_tasks(given_up, cx);
             } else if expired && unresponsive && unused && !server.listed {
                 let why = "no longer in the registry and not answering";
                 self.retire_server(ix, ServerState::GivenUp, why, cx);
--- a/crates/sched/src/losses.rs
+++ b/crates/sched/src/losses.rs
@@ -8,6 +8,8 @@
 //!
 //! Invariant: a loss counts once for each run, whichever owner notes it.
 
+pub(crate) mod open;
+
 use std::time::Duration;
 
 use model::Attempt;
@@ -106,9 +108,10 @@
         crashed || self.0.len() >= SUSPECT_LOSSES
     }
 
-    /// True when the task is to be given up.
-    fn exceeds(&self, limit: &Limit) -> bool {
-        let losses = self.0.len();
+    /// True when the task is to be given up, if all losses count but those that are
+    /// undecided.
+    fn exceeds(&self, limit: &Limit, undecided: usize) -> bool {
+        let losses = self.0.len() - undecided.min(self.0.len());
         let attributed = self.attributed() >= limit.attributed;
         losses >= limit.losses || (attributed && losses >= limit.losses_with_attributed)
     }
@@ -125,12 +128,8 @@
 impl Owner {
     /// The task that holds the losses of a run: that of the run itself, or the first of
     /// its gang, whose members are started and lost together.
-    fn loss_holder(&self, task: TaskRef) -> TaskRef {
-        let gang = self.ledger.spec(task.step).is_some_and(|spec| spec.gang);
-        match gang {
-            true => task.step.task(0),
-            false => task,
-        }
+    pub(crate) fn loss_holder(&self, task: TaskRef) -> TaskRef {
+        self.ledger.loss_holder(task)
     }
 
     fn losses(&self, task: TaskRef) -> Option<&Losses> {
@@ -194,8 +193,12 @@
         let evidence = |run: &RunRef| Some((*run, self.crash_evidence(ix, *run, silent_at)?));
         let lost: Vec<(RunRef, Evidence)> = runs.iter().filter_map(evidence).collect();
         let noted = lost.into_iter();
-        noted
+        let holders: Vec<TaskRef> = noted
             .filter_map(|(run, e)| self.note_loss_on(ix, run, e))
+            .collect();
+        let holders = holders.into_iter();
+        holders
+            .filter(|holder| self.exceeds_limit(*holder, self.undecided_losses(*holder, cx)))
             .collect()
     }
 
@@ -246,13 +249,8 @@
     }
 
     /// Notes the loss of runs whose leases expired on a backend server that may have
-    /// crashed, and returns the tasks to give up.
-    pub(crate) fn note_lapses(
-        &mut self,
-        ix: ServerIx,
-        runs: &[RunRef],
-        now: Duration,
-    ) -> Vec<TaskRef> {
+    /// crashed. The losses are open; see `decide_open_losses`.
+    pub(crate) fn note_lapses(&mut self, ix: ServerIx, runs: &[RunRef], now: Duration) {
         let server = self.fleet.get(ix);
         let silent_at = server.silent_since.unwrap_or(now);
         let draining = server.listing.draining;
@@ -265,10 +263,11 @@
             })
         };
         let lost: Vec<RunRef> = runs.iter().filter(counts).copied().collect();
-        let noted = lost.into_iter();
-        noted
-            .filter_map(|run| self.note_loss_on(ix, run, Evidence::Weak))
-            .collect()
+        let incarnation = (server.listing.id.clone(), server.listing.incarnation);
+        for run in lost {
+            self.note_loss_on(ix, run, Evidence::Weak);
+            self.open_losses.note(incarnation.clone(), run);
+        }
     }
 
     fn note_loss_on(&mut self, ix: ServerIx, run: RunRef, evidence: Evidence) -> Option<TaskRef> {
@@ -279,17 +278,32 @@
         self.note_loss(run, evidence)
     }
 
-    /// Notes the loss of a run, and returns its task if that is to be given up.
+    /// Notes the loss of a run, and returns the task or gang that holds it if it has not
+    /// completed.
     pub(crate) fn note_loss(&mut self, run: RunRef, evidence: Evidence) -> Option<TaskRef> {
         let holder = self.loss_holder(run.task);
-        let inherited = self.ledger.jobs.get(&run.task.step.job)?.inherited;
+        let task = self.ledger.task_mut(holder).filter(|task| !task.done)?;
+        task.losses.note(run.number, evidence);
+        Some(holder)
+    }
+
+    /// True when a task or gang is to be given up, if all its losses count but those that
+    /// are undecided.
+    pub(crate) fn exceeds_limit(&self, holder: TaskRef, undecided: usize) -> bool {
+        let job = self.ledger.jobs.get(&holder.step.job);
+        let inherited = job.is_some_and(|job| job.inherited);
         let limit = match inherited && self.recovery.lacks_records() {
             true => LIMIT_AFTER_UNKNOWN,
             false => LIMIT,
         };
-        let task = self.ledger.task_mut(holder).filter(|task| !task.done)?;
-        task.losses.note(run.number, evidence);
-        task.losses.exceeds(&limit).then_some(holder)
+        let task = self.ledger.task(holder);
+        task.is_some_and(|task| task.losses.exceeds(&limit, undecided))
+    }
+
+    /// True when a task may not start until it is known whether the backend servers that
+    /// were lost under it have crashed.
+    pub(crate) fn awaits_verdict(&self, task: TaskRef) -> bool {
+        self.exceeds_limit(self.loss_holder(task), 0)
     }
 
     /// Withdraws the loss of a run whose end was listed. The end of a gang member says
@@ -328,9 +342,10 @@
         }
     }
 
-    /// True when an incarnation of a backend server is known to have ended.
+    /// True when an incarnation of a backend server is known to have ended. One that the
+    /// registry does not list may be cut off.
     pub(crate) fn has_ended(&self, id: &model::Name, incarnation: u64) -> bool {
-        self.fleet.find(id).is_none_or(|ix| {
+        self.fleet.find(id).is_some_and(|ix| {
             let server = self.fleet.get(ix);
             server.listing.incarnation > incarnation || server.state == ServerState::Ended
         })
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -19,6 +19,7 @@
 use crate::fleet::{Fleet, ServerIx, ServerState};
 use crate::heartbeat::Heartbeats;
 use crate::ledger::{JobIx, Ledger, RunRef, RunState};
+use crate::losses::open::OpenLosses;
 use crate::notice::{Notice, ms};
 use crate::recover::Recovery;
 use crate::roster::Roster;
@@ -84,6 +85,7 @@
     /// Orders in flight, with their backend server and fencing token.
     pub(crate) orders_in_flight: HashMap<CallId, (SentOrder, ServerIx, Epoch)>,
     pub(crate) orphan_runs: OrphanRuns,
+    pub(crate) open_losses: OpenLosses,
     /// Class of each image, under which its run times are estimated.
     pub(crate) image_classes: HashMap<Name, u32>,
     pub(crate) estimates: RuntimeEstimates,
@@ -125,6 +127,7 @@
             recovery: Recovery::new(cx.now()),
             orders_in_flight: HashMap::new(),
             orphan_runs: HashMap::new(),
+            open_losses: OpenLosses::default(),
             image_classes: HashMap::new(),
             estimates: RuntimeEstimates::default(),
             token_buckets: HashMap::new(),
@@ -460,6 +463,7 @@
         if cx.now() >= self.next_sweep_at {
             self.next_sweep_at = cx.now() + SWEEP_INTERVAL;
             self.expire_servers(cx);
+            self.decide_open_losses(cx);
             self.retry_stops(cx);
             self.tick_recovery(cx);
         }
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -318,8 +318,9 @@
             None => self.possible_candidates(ranked.step, spec, pool),
         };
         let is_suspect = |index: &TaskIndex| self.is_suspect(ranked.step.task(*index));
-        let (suspects, others): (Vec<TaskIndex>, Vec<TaskIndex>) =
+        let (mut suspects, others): (Vec<TaskIndex>, Vec<TaskIndex>) =
             waiting.iter().partition(|index| is_suspect(index));
+        suspects.retain(|index| !self.awaits_verdict(ranked.step.task(*index)));
         let plan = match () {
             () if others.is_empty() => Plan::new(),
             () if pool.withheld.is_empty() => {
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -7,6 +7,7 @@
 //! roster that has not answered and may still carry out orders of an earlier
 //! owner.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use model::{Epoch, JobId, Name, Resources, Row, Step};
@@ -472,10 +473,18 @@
         let mut given_up = Vec::new();
         for ((id, incarnation), runs) in &record.placed {
             self.restore_runs(ix, id, runs, cx.now());
-            if self.has_ended(id, *incarnation) {
+            let is_listed = self.fleet.find(id).is_some();
+            if !is_listed || self.has_ended(id, *incarnation) {
                 given_up.extend(self.note_recorded_losses(ix, runs));
             }
+            // It may be cut off.
+            if !is_listed {
+                let runs = BTreeMap::from([((id.clone(), *incarnation), runs.clone())]);
+                self.restore_open_losses(ix, &runs);
+            }
         }
+        self.restore_open_losses(ix, &record.open_losses);
+        given_up.retain(|holder| self.exceeds_limit(*holder, self.undecided_losses(*holder, cx)));
         self.give_up_tasks(given_up, cx);
         if is_terminal {
             self.mark_dirty(ix);
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -16,6 +16,7 @@
 
 use crate::event::Table;
 use crate::losses::Losses;
+use crate::losses::open::Incarnation;
 
 /// Key of the owner row. Every write of an owner is conditional on its version.
 pub(crate) const OWNER_KEY: &str = "cell/owner";
@@ -143,6 +144,10 @@
     /// and earlier ones can read each other's rows.
     #[serde(skip)]
     pub(crate) losses: LossRecords,
+    /// The losses among them that are open, by backend server. They follow `losses` in the
+    /// row.
+    #[serde(skip)]
+    pub(crate) open_losses: BTreeMap<Incarnation, Vec<RunRecord>>,
 }
 
 /// Losses of tasks, by occurrence and step.
@@ -155,17 +160,22 @@
         if !self.losses.is_empty() {
             row.extend_from_slice(&encode(&self.losses));
         }
+        if !self.losses.is_empty() && !self.open_losses.is_empty() {
+            row.extend_from_slice(&encode(&self.open_losses));
+        }
         Bytes::from(row)
     }
 
     /// Decodes the state row of a job; `None` when it is malformed.
     pub(crate) fn decode(bytes: &[u8]) -> Option<Self> {
         let (record, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
-        let losses = match rest.is_empty() {
-            true => LossRecords::default(),
-            false => decode(rest)?,
-        };
-        Some(Self { losses, ..record })
+        let (losses, rest) = take_if_present(rest)?;
+        let (open_losses, _) = take_if_present(rest)?;
+        Some(Self {
+            losses,
+            open_losses,
+            ..record
+        })
     }
 }
 
@@ -181,6 +191,18 @@
     Bytes::from(postcard::to_stdvec(row).unwrap_or_default())
 }
 
+/// Decodes a part that follows the others of a row, and returns it with the rest; the
+/// default if an earlier build wrote the row without it, `None` when it is malformed.
+fn take_if_present<T>(bytes: &[u8]) -> Option<(T, &[u8])>
+where
+    T: DeserializeOwned + Default,
+{
+    match bytes.is_empty() {
+        true => Some((T::default(), bytes)),
+        false => postcard::take_from_bytes(bytes).ok(),
+    }
+}
+
 /// Decodes a row; `None` when it is malformed.
 pub(crate) fn decode<T>(bytes: &[u8]) -> Option<T>
 where
--- a/crates/sched/tests/owner/harness.rs
+++ b/crates/sched/tests/owner/harness.rs
@@ -116,6 +116,10 @@
 /// Runs on a backend server that carries out the starts and stops it is told.
 #[derive(Default)]
 pub(crate) struct ServerLists {
+    /// Number of incarnations before this one.
+    pub(crate) restarts: u64,
+    /// When this incarnation began.
+    pub(crate) booted_at: Duration,
     pub(crate) running: Vec<Progress>,
     pub(crate) finished: Vec<Finished>,
 }
@@ -523,7 +527,7 @@
                 && !matches!(*order, Order::RenewLease { .. }) =>
             {
                 self.carry_out(&server, *order);
-                let result = Ok(OrderResponse::Done(self.clock()));
+                let result = Ok(OrderResponse::Done(self.clock_of(&server)));
                 self.deliver(Event::OrderAnswered { call, result });
             }
             Effect::Order {
@@ -592,6 +596,23 @@
         }
     }
 
+    /// Replaces a backend server by another incarnation, which runs nothing.
+    pub(crate) fn restart(&mut self, server: &Name, incarnation: u64) {
+        let lists = ServerLists {
+            restarts: incarnation - 1,
+            booted_at: self.now,
+            ..ServerLists::default()
+        };
+        self.fleet.insert(server.clone(), lists);
+    }
+
+    /// Clock of a backend server that carries out starts.
+    fn clock_of(&self, server: &str) -> u64 {
+        let lists = self.fleet.get(server);
+        let booted_at = lists.map_or(Duration::ZERO, |lists| lists.booted_at);
+        self.now.saturating_sub(booted_at).as_millis() as u64
+    }
+
     fn carry_out(&mut self, server: &Name, order: Order) {
         let Some(lists) = self.fleet.get_mut(server) else {
             return;
@@ -607,16 +628,22 @@
     }
 
     pub(crate) fn answer_renewal(&mut self, call: CallId, server: &str, finished: Vec<Finished>) {
-        let (running, finished) = match (self.fleet.get(server), server) {
-            (Some(lists), _) => (lists.running.clone(), lists.finished.clone()),
-            (None, "server") => (self.running.clone(), finished),
-            (None, _) => (Vec::new(), finished),
-        };
-        let lists = RunLists {
-            clock: self.clock(),
-            incarnation: Some(self.incarnation),
-            running,
-            finished,
+        let lists = match (self.fleet.get(server), server) {
+            (Some(lists), _) => RunLists {
+                clock: self.clock_of(server),
+                incarnation: Some(1 + lists.restarts),
+                running: lists.running.clone(),
+                finished: lists.finished.clone(),
+            },
+            (None, id) => RunLists {
+                clock: self.clock(),
+                incarnation: Some(self.incarnation),
+                running: match id {
+                    "server" => self.running.clone(),
+                    _ => Vec::new(),
+                },
+                finished,
+            },
         };
         let result = Ok(OrderResponse::Lists(Box::new(lists)));
         self.deliver(Event::OrderAnswered { call, result });
@@ -844,3 +871,14 @@
         harness.answer_policy(tickets.clone());
     }
 }
+
+/// An owner of `servers` backend servers that carry out starts.
+pub(crate) fn owner_of(servers: usize) -> Harness {
+    let ids: Vec<Name> = (0..servers).map(|n| format!("s{n}").into()).collect();
+    let mut harness = Harness::new("owner", 0.25, Vec::new());
+    harness.renews_by_tick = true;
+    harness.listings = ids.iter().map(|id| named_listing(id)).collect();
+    harness.fleet = ids.into_iter().map(|id| (id, Default::default())).collect();
+    harness.advance(Duration::from_secs(1));
+    harness
+}
--- a/crates/sched/tests/owner/health.rs
+++ b/crates/sched/tests/owner/health.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use model::{Graph, Name, Resources, RunOutcome, Step};
+use model::{Graph, Resources, RunOutcome, Step};
 use sched::Notice;
 
-use crate::harness::{Harness, TICK, graph, named_listing};
+use crate::harness::{Harness, TICK, graph, owner_of};
 
 /// Time that a run takes to fail or to complete.
 const RUN_TIME: Duration = Duration::from_millis(300);
@@ -13,19 +13,8 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
 const LASTING: &str = "00000000000000aa";
 
-/// An owner of `servers` backend servers that carry out starts.
-pub(crate) fn owner_of(servers: usize) -> Harness {
-    let ids: Vec<Name> = (0..servers).map(|n| format!("s{n}").into()).collect();
-    let mut harness = Harness::new("owner", 0.25, Vec::new());
-    harness.renews_by_tick = true;
-    harness.listings = ids.iter().map(|id| named_listing(id)).collect();
-    harness.fleet = ids.into_iter().map(|id| (id, Default::default())).collect();
-    harness.advance(Duration::from_secs(1));
-    harness
-}
-
 /// A job of one step, with at most one task on each backend server.
-pub(crate) fn spread(tasks: u32, each: Resources, long_running: bool) -> Graph {
+fn spread(tasks: u32, each: Resources, long_running: bool) -> Graph {
     let step = graph().steps.swap_remove(0);
     Graph {
         steps: vec![Step {
--- a/crates/sched/tests/owner/losses.rs
+++ b/crates/sched/tests/owner/losses.rs
@@ -1,11 +1,14 @@
 //! Tasks that crash the backend servers that start them.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use model::{Graph, Stage, Step};
+use model::{Graph, Name, Resources, RunKey, RunOutcome, Stage, Step};
 use sched::{Event, Listing, Notice};
 
-use crate::harness::{Harness, TICK, graph, listing, successor_of};
+use crate::harness::{
+    Harness, TICK, graph, listing, named_listing, owner_of, successor_named, successor_of,
+};
 
 /// Starts of a task after three of its backend servers have crashed that are too many,
 /// with the three before.
@@ -171,3 +174,168 @@
     assert!(harness.starts.len() > TOO_MANY_STARTS);
     assert!(!has_failed(&harness));
 }
+
+/// Longest time until the leases on a backend server that is cut off have certainly ended.
+const LAPSE_TIME: Duration = Duration::from_secs(8);
+
+/// One task or gang of `tasks` that take a backend server each.
+fn wide(tasks: u32, gang: bool) -> Graph {
+    let step = graph().steps.swap_remove(0);
+    Graph {
+        steps: vec![Step {
+            tasks,
+            gang,
+            each: Resources::of(40_000, 512, 0, 0),
+            ..step
+        }],
+        ..graph()
+    }
+}
+
+/// Backend servers that run something, at most `count`.
+fn busy(harness: &Harness, count: usize) -> Vec<Name> {
+    let running = harness.fleet.iter();
+    let running = running.filter(|(_, lists)| !lists.running.is_empty());
+    running.map(|(id, _)| id.clone()).take(count).collect()
+}
+
+/// Cuts backend servers off until the leases there have lapsed. The members of a gang that
+/// run elsewhere end with those there.
+fn cut(harness: &mut Harness, servers: &[Name], gang: bool) {
+    harness.unreachable.extend(servers.iter().cloned());
+    let lists = servers.iter().map(|id| &harness.fleet[id]);
+    let runs = lists.flat_map(|lists| &lists.running);
+    let lost: BTreeSet<u64> = runs.map(|progress| progress.run.number).collect();
+    harness.advance(LAPSE_TIME);
+    for (id, lists) in &mut harness.fleet {
+        match servers.contains(id) {
+            true => lists.end(RunOutcome::Lapsed, |_| true),
+            false if gang => {
+                let is_lost = |run: &RunKey| lost.contains(&run.number);
+                lists.end(RunOutcome::GangMemberEnded, is_lost);
+            }
+            false => {}
+        }
+    }
+}
+
+fn mend(harness: &mut Harness) {
+    harness.unreachable.clear();
+    harness.advance(Duration::from_secs(3));
+}
+
+/// Takes over from an owner that is killed, with the backend servers as they are.
+fn replace_owner(owner: Harness, term: usize) -> Harness {
+    let mut successor = successor_named(&"owner".repeat(term + 2), &owner);
+    successor.renews_by_tick = true;
+    successor.listings = owner.listings;
+    successor.fleet = owner.fleet;
+    successor.unreachable = owner.unreachable;
+    successor.now = owner.now;
+    successor
+}
+
+/// Guards against giving up a gang, or a task, because its backend servers are cut off again
+/// and again and go on: nothing crashes.
+#[test]
+fn work_on_servers_that_are_cut_off_is_not_given_up() {
+    for (gang, tasks, cut_at_once) in [(true, 4, 1), (true, 4, 2), (true, 4, 4), (false, 4, 2)] {
+        let case = format!("gang: {gang}, {cut_at_once} cut off at once");
+        let mut harness = owner_of(10);
+        harness.submit_to(&format!("/plain/{JOB}"), wide(tasks, gang));
+        harness.advance(Duration::from_secs(1));
+
+        for _ in 0..8 {
+            let servers = busy(&harness, cut_at_once);
+            cut(&mut harness, &servers, gang);
+            mend(&mut harness);
+            assert!(!has_failed(&harness), "{case}: {:?}", harness.placements);
+        }
+
+        assert_eq!(busy(&harness, 10).len(), tasks as usize, "{case}");
+    }
+}
+
+/// Guards against the same when the owner that noted a loss is killed before the backend
+/// server answers again.
+#[test]
+fn losses_that_a_predecessor_noted_are_withdrawn() {
+    let mut harness = owner_of(10);
+    harness.submit_to(&format!("/plain/{JOB}"), wide(4, true));
+    harness.advance(Duration::from_secs(1));
+
+    for term in 0..6 {
+        let servers = busy(&harness, 1);
+        cut(&mut harness, &servers, true);
+        harness = replace_owner(harness, term);
+        harness.advance(LAPSE_TIME);
+        mend(&mut harness);
+        assert!(!has_failed(&harness), "term {term}");
+    }
+
+    assert_eq!(busy(&harness, 10).len(), 4);
+}
+
+/// Guards against giving up a task while the backend servers that were lost under it are
+/// silent, all of which go on.
+#[test]
+fn a_task_waits_until_it_is_known_whether_its_servers_crashed() {
+    for gang in [false, true] {
+        let mut harness = owner_of(10);
+        harness.submit_to(&format!("/plain/{JOB}"), wide(1, gang));
+        harness.advance(Duration::from_secs(1));
+
+        for _ in 0..8 {
+            let servers = busy(&harness, 10);
+            cut(&mut harness, &servers, gang);
+            harness.advance(Duration::from_secs(2));
+        }
+        let starts = harness.placements.len();
+        assert!(!has_failed(&harness), "gang: {gang}");
+        assert!(starts < TOO_MANY_STARTS, "gang: {gang}: {starts} starts");
+        mend(&mut harness);
+
+        assert_eq!(busy(&harness, 10).len(), 1, "gang: {gang}");
+    }
+}
+
+/// Guards against a task that crashes its servers and is started on one after the other,
+/// because each of them is silent at first and comes back as another incarnation, or leaves
+/// the registry for good.
+#[test]
+fn a_task_whose_silent_servers_turn_out_to_have_crashed_is_given_up() {
+    for (gang, returns) in [(false, true), (true, true), (false, false), (true, false)] {
+        let case = format!("gang: {gang}, servers return: {returns}");
+        let mut harness = owner_of(10);
+        harness.submit_to(&format!("/plain/{JOB}"), wide(1, gang));
+        harness.advance(Duration::from_secs(1));
+
+        for incarnation in 2..12 {
+            let servers = busy(&harness, 10);
+            harness.unreachable.extend(servers.iter().cloned());
+            for id in &servers {
+                harness.fleet.insert(id.clone(), Default::default());
+            }
+            harness.advance(Duration::from_secs(4));
+            for id in servers {
+                match returns {
+                    true => {
+                        harness.unreachable.remove(&id);
+                        let next = Listing {
+                            incarnation,
+                            ..named_listing(&id)
+                        };
+                        harness.restart(&id, incarnation);
+                        harness.deliver(Event::ServerListed(next));
+                    }
+                    false => harness.deliver(Event::ServerUnlisted(id)),
+                }
+            }
+            harness.advance(LAPSE_TIME);
+        }
+
+        let starts = harness.placements.len();
+        assert!(starts < TOO_MANY_STARTS, "{case}: {starts} starts");
+        assert!(has_failed(&harness) && was_given_up(&harness), "{case}");
+    }
+}
