Skip only steps that need as much as one that found no room

Cause: a placement pass ended for a service after 32 steps without room that could run on half of its servers if those were empty, whatever the lower-ranked steps need.

Now a pass remembers what did not fit: resources of a task, tasks that start together, label. Room only shrinks in a pass, so this is exact for needs at least as large, and a service that is full is still told after a few steps.

--- a/crates/model/src/resources.rs
+++ b/crates/model/src/resources.rs
@@ -106,6 +106,23 @@
         self.zip(Self::ZERO, |a, _| a.saturating_mul(n))
     }
 
+    /// Returns how many times these resources fit into `capacity`; `u32::MAX` if they are
+    /// zero.
+    #[must_use]
+    pub fn count_in(&self, capacity: &Self) -> u32 {
+        let dimensions = self.dims().into_iter().zip(capacity.dims());
+        let needed = dimensions.filter(|(each, _)| *each > 0);
+        needed.map(|(each, c)| c / each).min().unwrap_or(u32::MAX)
+    }
+
+    /// Creates a vector that is zero but for one dimension, by its position in `dims`.
+    #[must_use]
+    pub fn along(dimension: usize, amount: u32) -> Self {
+        let mut dims = [0; Self::DIMENSIONS];
+        dims[dimension] = amount;
+        Self::from_dims(dims)
+    }
+
     /// Divides each dimension by `n`, rounding down. Zero for `n` is treated as one.
     #[must_use]
     pub fn divided_by(self, n: u32) -> Self {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod rank;
 pub(crate) mod recover;
 pub(crate) mod select;
+pub mod shortage;
 pub mod shortlist;
 pub(crate) mod tree;
 pub(crate) mod verify;
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -13,6 +13,7 @@
 use model::{Attempt, Name, Resources, Step, StepIndex, TaskIndex};
 use policy::fit::Candidate;
 use policy::rank::{Rank, WaitingStep};
+use policy::shortage::{Need, Shortages};
 use policy::shortlist::{Preference, Prospect, shortlist};
 
 use crate::advice::MAX_SERVERS_PER_QUERY;
@@ -25,13 +26,6 @@
 /// Blocked gangs may reserve at most one in this many of a service's backend
 /// servers.
 const RESERVED_DIVISOR: usize = 3;
-/// Number of steps of one service blocked for want of room after which a pass skips
-/// the remaining ones: the service is full, and a pass has to stay short under a
-/// long backlog.
-const MAX_BLOCKED_STEPS: usize = 32;
-/// A blocked step shows that a service is full only if it may run on at least one in
-/// this many of the service's backend servers.
-const REPRESENTATIVE_DIVISOR: usize = 2;
 /// Number of backend servers that a pass examines for steps that can't start yet:
 /// to withhold room from lower-ranked steps and to choose what to ask the external
 /// policy about. A pass over a long backlog thereby costs a few milliseconds on one
@@ -79,9 +73,8 @@
     withheld: HashSet<ServerIx>,
     /// Number of backend servers withheld for blocked gangs.
     reserved_servers: usize,
-    /// Number of steps that found no room in this pass, although they may run on a
-    /// large part of the backend servers.
-    blocked_steps: usize,
+    /// What found no room in this pass.
+    shortages: Shortages,
     /// Number of backend servers examined for steps that can't start yet.
     examined: usize,
 }
@@ -299,8 +292,17 @@
         ) else {
             return 0;
         };
-        if pool.blocked_steps >= MAX_BLOCKED_STEPS {
-            return 0; // Lower-ranked steps would not find room either.
+        let state = self.ledger.step(ranked.step);
+        let need = Need {
+            each: spec.committed(),
+            tasks: match spec.gang {
+                true => state.map_or(1, |state| state.tasks.len() as u32),
+                false => 1,
+            },
+            label: spec.label.clone(),
+        };
+        if pool.shortages.covers(&need) {
+            return 0;
         }
         if let Some(admission) = queue
             .admission
@@ -354,6 +356,9 @@
                 Apart::Blocked => blocked = true,
             }
         }
+        if blocked {
+            self.note_shortage(&need, pool);
+        }
         if blocked && pool.examined < MAX_EXAMINED {
             self.handle_blocked(ranked, spec, &queue, &waiting, pool, cx);
         }
@@ -503,9 +508,10 @@
             let is_near = |rack: &Name| *rack == listing.rack;
             Prospect {
                 server: *ix,
-                room: tasks_that_fit(&each, &candidate.free)
+                room: each
+                    .count_in(&candidate.free)
                     .min(spread.saturating_sub(self.step_runs_on(*ix, step))),
-                capacity: tasks_that_fit(&each, &candidate.capacity).min(spread),
+                capacity: each.count_in(&candidate.capacity).min(spread),
                 allowed: state.is_some_and(|s| s.admission.allowed.contains(&listing.id)),
                 near: rack.as_ref().is_none_or(is_near),
             }
@@ -536,7 +542,7 @@
         let mut rooms: BTreeMap<&Name, u64> = BTreeMap::new();
         for (ix, candidate) in &pool.candidates {
             let rack = &self.fleet.get(*ix).listing.rack;
-            *rooms.entry(rack).or_default() += u64::from(tasks_that_fit(each, &candidate.free));
+            *rooms.entry(rack).or_default() += u64::from(each.count_in(&candidate.free));
         }
         let most = rooms.into_iter().max_by_key(|(_, room)| *room);
         most.map(|(rack, _)| rack.clone())
@@ -594,8 +600,6 @@
             let servers = self.servers_to_name(step, spec, remaining.len(), pool);
             self.query_policy(step, queue.priority, admission, &servers, cx);
         }
-        let is_full = plan.is_empty() && self.may_run_widely(step, spec, pool);
-        pool.blocked_steps += usize::from(is_full);
         for (_, server) in &plan {
             pool.allocate(*server, spec.committed());
         }
@@ -604,14 +608,15 @@
         }
     }
 
-    /// True if a step may run on a large part of a service's backend servers when
-    /// nothing else does.
-    fn may_run_widely(&self, step: StepRef, spec: &Step, pool: &ServerPool) -> bool {
-        let each = spec.committed();
-        let permitted = pool.candidates.iter().filter(|(ix, candidate)| {
-            each.fits(&candidate.capacity) && self.is_eligible(step, spec, *ix)
-        });
-        permitted.count() * REPRESENTATIVE_DIVISOR >= pool.candidates.len()
+    /// Notes what a service is short of, if it has no room for a need of a step.
+    fn note_shortage(&self, need: &Need, pool: &mut ServerPool) {
+        let has_label = |ix: ServerIx| {
+            let labels = &self.fleet.get(ix).listing.labels;
+            need.label.as_ref().is_none_or(|l| labels.contains(l))
+        };
+        let candidates = pool.candidates.iter();
+        let free = candidates.map(|(ix, candidate)| (candidate.free, has_label(*ix)));
+        pool.shortages.examine(need, free);
     }
 
     /// Withholds the backend servers with the most free resources from
@@ -632,7 +637,7 @@
             if remaining == 0 || pool.reserved_servers >= max_reserved {
                 return;
             }
-            remaining = remaining.saturating_sub(tasks_that_fit(&each, &candidate.capacity));
+            remaining = remaining.saturating_sub(each.count_in(&candidate.capacity));
             pool.reserved_servers += 1;
             pool.allocate(ix, Resources::UNLIMITED);
         }
@@ -659,10 +664,3 @@
 fn has_waiting(state: &StepState) -> bool {
     !state.is_done() && state.waiting().next().is_some()
 }
-
-/// Number of tasks that need `each` and fit into `capacity`.
-fn tasks_that_fit(each: &Resources, capacity: &Resources) -> u32 {
-    let (each, capacity) = (each.dims(), capacity.dims());
-    let per_dimension = each.iter().zip(capacity).filter(|(e, _)| **e > 0);
-    per_dimension.map(|(e, c)| c / e).min().unwrap_or(u32::MAX)
-}
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -5,6 +5,7 @@
 mod harness;
 mod health;
 mod losses;
+mod room;
 mod rows;
 mod servers;
 mod takeover;
