Judge jobs by the settings that they were accepted under

Cause: what a job may do was read from the newest configuration, and constants took the place of a queue or team that is missing there: two attempts, no admission by the external policy, another priority, no limit of the team.

Now the submission row keeps these settings, behind its other fields, so that this build and earlier ones read each other's rows. The attempts are always those of the acceptance; the rest applies while queue or team are not configured. Nothing is placed before a configuration is known.

--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -301,7 +301,7 @@
         let (team, queue) = job
             .map(|job| (job.team.clone(), job.queue.clone()))
             .unwrap_or_default();
-        let admission = cx.config.queue(&queue).and_then(|queue| queue.admission);
+        let admission = job.and_then(|job| job.settings(cx.config).admission);
         let validity = admission.map_or(Duration::ZERO, |admission| admission.ticket_validity);
         let validity = validity.saturating_sub(cx.settings.timing.ticket_margin);
         let until = cx.now().saturating_add(validity);
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use model::{Hash, Name, Resources};
+use serde::{Deserialize, Serialize};
 
 /// Upper bound on an expected decision latency. Timeouts are multiples of it, so it is
 /// far below the maximum of a duration.
@@ -14,7 +15,7 @@
 
 /// Latency model of the external admission policy, which decides which backend
 /// servers may run a step.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdmissionPolicy {
     /// Latency of a decision, independent of the number of backend servers.
     pub base_latency: Duration,
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -14,9 +14,6 @@
 use crate::notice::{Notice, ms};
 use crate::owner::{Cx, Owner};
 
-/// Maximum number of attempts when the queue is no longer configured.
-const DEFAULT_ATTEMPTS: u32 = 2;
-
 impl Owner {
     /// Handles an ended run listed by a backend server.
     pub(crate) fn handle_run_end(
@@ -211,19 +208,14 @@
         if is_new {
             self.note_failed_on(holder, server, started_at, cx);
         }
-        match failures >= self.max_attempts(holder.step.job, cx) {
+        let job = self.ledger.jobs.get(&holder.step.job);
+        let last = job.is_some_and(|job| failures >= job.max_attempts(cx.config));
+        match last {
             true => self.finish_job(holder.step.job, Stage::Failed, cx),
             false => self.stop_gang(run, cx),
         }
     }
 
-    /// Number of failed runs of a task after which its job fails.
-    pub(crate) fn max_attempts(&self, job: JobIx, cx: &Cx<'_>) -> u32 {
-        let queue = self.ledger.jobs.get(&job).map(|job| &job.queue);
-        let queue = queue.and_then(|name| cx.config.queue(name));
-        queue.map_or(DEFAULT_ATTEMPTS, |queue| queue.max_attempts.max(1))
-    }
-
     /// Stops the other members of a gang, which can't continue without this run.
     fn stop_gang(&mut self, run: RunRef, cx: &mut Cx<'_>) {
         let step = run.task.step;
--- a/crates/sched/src/forecast.rs
+++ b/crates/sched/src/forecast.rs
@@ -33,10 +33,8 @@
         let steps = 0..job.graph.steps.len() as StepIndex;
         let remaining: Vec<Duration> = steps.map(|step| self.remaining_time(job, step)).collect();
         let critical_path = remaining.iter().max().copied().unwrap_or(Duration::ZERO);
-        let queue = cx.config.queue(&job.queue);
-        let (slack, target) = queue.map_or((1.0, Duration::ZERO), |q| {
-            (q.slack_factor, q.latency_target)
-        });
+        let settings = job.settings(cx.config);
+        let (slack, target) = (settings.slack_factor, settings.latency_target);
         let forecast = Forecast {
             computed_at: cx.now(),
             objective: target.saturating_add(scaled(critical_path, slack.max(1.0))),
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -10,6 +10,7 @@
 
 use model::{Condition, Hash, JobId, Name, Reason, Refusal, Stage, Transaction, Write};
 
+use crate::acceptance::Acceptance;
 use crate::config::{Config, Queue};
 use crate::event::{
     ApiRequest, CallId, CallerId, Effect, Metric, Reply, RequestKind, StoreError, StoreResponse,
@@ -300,6 +301,7 @@
                     service: queue.service.clone(),
                     team: team.clone(),
                     graph: *graph,
+                    acceptance: Some(Acceptance::new(queue, &team, &cx.active_config.config)),
                 };
                 let pending = call(Purpose::Accept {
                     submission: Box::new(submission),
@@ -389,7 +391,7 @@
             writes: vec![
                 Write {
                     key: rows::job_key(&pending.id),
-                    value: Some(rows::encode(submission.as_ref())),
+                    value: Some(submission.encode()),
                 },
                 Write {
                     key: rows::state_key(&pending.id),
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -12,6 +12,7 @@
     TaskIndex,
 };
 
+use crate::acceptance::Acceptance;
 use crate::event::CallId;
 use crate::failures::FailedOn;
 use crate::fleet::ServerIx;
@@ -199,6 +200,8 @@
     pub(crate) service: Name,
     pub(crate) team: Name,
     pub(crate) graph: Arc<Graph>,
+    /// Settings that it was accepted under; `None` if an earlier build did not keep them.
+    pub(crate) acceptance: Option<Acceptance>,
     /// Step states of each occurrence created so far.
     pub(crate) occurrences: BTreeMap<Occurrence, Vec<StepState>>,
     pub(crate) stage: Stage,
@@ -251,6 +254,7 @@
             service: submission.service,
             team: submission.team,
             graph: Arc::new(submission.graph),
+            acceptance: submission.acceptance,
             occurrences: BTreeMap::new(),
             stage: Stage::Queued,
             cancelled: false,
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,6 +13,7 @@
 //! service. State held only in memory can be rebuilt from the table service and
 //! from the run lists of the backend servers.
 
+pub(crate) mod acceptance;
 pub(crate) mod accounts;
 pub(crate) mod advice;
 pub(crate) mod commit;
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -46,8 +46,6 @@
 /// Lower bound on this VM's share of a CPU core when the pause between passes is
 /// computed.
 const MIN_CPU_SHARE: f64 = 0.05;
-/// Priority of jobs whose queue is no longer configured.
-const DEFAULT_PRIORITY: u32 = 2;
 
 /// A ready step with tasks to start.
 #[derive(Clone, Copy, Debug)]
@@ -120,6 +118,10 @@
         if !self.recovery.tables_loaded || !cx.term.may_order(cx.settings, cx.now()) {
             return;
         }
+        // Limits and admission are unknown before the first configuration.
+        if cx.config.version == 0 {
+            return;
+        }
         self.create_due_occurrences(cx);
         let mut ranked_steps = self.collect_ranked_steps(cx);
         ranked_steps.sort_by_key(|ranked| (ranked.rank, ranked.step));
@@ -211,12 +213,11 @@
     fn rank(&self, step: StepRef, share_utilization: f64, cx: &Cx<'_>) -> Option<Rank> {
         let job = self.ledger.jobs.get(&step.job)?;
         let forecast = job.forecast.as_ref()?;
-        let queue = cx.config.queue(&job.queue);
         let waiting = WaitingStep {
             arrived_at: job.first_seen_at,
             objective: forecast.objective,
             remaining: *forecast.remaining.get(step.step as usize)?,
-            priority: queue.map_or(DEFAULT_PRIORITY, |queue| queue.priority),
+            priority: job.settings(cx.config).priority,
             beyond_rate: job.beyond_rate,
             long_running: job.graph.steps.get(step.step as usize)?.long_running,
             share_utilization,
@@ -260,17 +261,11 @@
     }
 
     fn queue_settings(&self, job: &Job, cx: &Cx<'_>) -> QueueSettings {
-        match cx.config.queue(&job.queue) {
-            Some(queue) => QueueSettings {
-                service: queue.service.clone(),
-                priority: queue.priority,
-                admission: queue.admission,
-            },
-            None => QueueSettings {
-                service: job.service.clone(),
-                priority: DEFAULT_PRIORITY,
-                admission: None,
-            },
+        let settings = job.settings(cx.config);
+        QueueSettings {
+            service: job.current_service(cx.config),
+            priority: settings.priority,
+            admission: settings.admission,
         }
     }
 
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -188,12 +188,9 @@
         waiting: usize,
         cx: &Cx<'_>,
     ) -> Resources {
-        let limit = cx.config.team(team).map_or(Resources::ZERO, |t| t.limit);
-        let urgent = self
-            .ledger
-            .jobs
-            .get(&step.job)
-            .is_some_and(|job| job.urgent);
+        let job = self.ledger.jobs.get(&step.job);
+        let limit = job.map_or(Resources::ZERO, |job| job.team_limit(cx.config));
+        let urgent = job.is_some_and(|job| job.urgent);
         let last_urgent = self.last_urgent_at.get(team);
         let sends_urgent = last_urgent.is_some_and(|at| cx.now() < *at + URGENT_WINDOW);
         if urgent || spec.long_running || !sends_urgent {
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -547,7 +547,7 @@
                 if self.ledger.find(&id).is_some() || self.commits.has_ended(&id) {
                     return;
                 }
-                match rows::decode::<Submission>(bytes) {
+                match Submission::decode(bytes) {
                     Some(submission) => {
                         let version = row.cell.version;
                         let Some(layout) = self.recovery.layout else {
@@ -559,8 +559,7 @@
                         // The arrival time of an inherited job is unknown, so it does
                         // not count against its team's rate.
                         job.beyond_rate = !inherited && !self.is_within_rate(&job.team, cx);
-                        let queue = cx.config.queue(&job.queue);
-                        job.urgent = queue.is_some_and(|queue| queue.priority == 0);
+                        job.urgent = job.settings(cx.config).priority == 0;
                         if job.urgent {
                             self.last_urgent_at.insert(job.team.clone(), cx.now());
                         }
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -14,6 +14,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::acceptance::Acceptance;
 use crate::event::Table;
 use crate::losses::Losses;
 use crate::losses::open::Incarnation;
@@ -100,6 +101,34 @@
     /// Team; empty when a caller without a key used an open queue.
     pub(crate) team: Name,
     pub(crate) graph: Graph,
+    /// Settings that the job is accepted under. They follow the other fields in the row and
+    /// are `None` in rows of earlier builds, which can read this build's.
+    #[serde(skip)]
+    pub(crate) acceptance: Option<Acceptance>,
+}
+
+impl Submission {
+    /// Encodes the submission row of a job.
+    pub(crate) fn encode(&self) -> Bytes {
+        let mut row = encode(self).to_vec();
+        if let Some(acceptance) = &self.acceptance {
+            row.extend_from_slice(&encode(acceptance));
+        }
+        Bytes::from(row)
+    }
+
+    /// Decodes the submission row of a job; `None` when it is malformed.
+    pub(crate) fn decode(bytes: &[u8]) -> Option<Self> {
+        let (submission, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
+        let acceptance = match rest.is_empty() {
+            true => None,
+            false => Some(decode(rest)?),
+        };
+        Some(Self {
+            acceptance,
+            ..submission
+        })
+    }
 }
 
 /// Persistent state of one step in one occurrence.
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a single entry VM against simulated responses of the table service,
 //! the registry, the backend servers and the external admission policy.
 
+mod acceptance;
 mod capacity;
 mod harness;
 mod health;
--- a/crates/sched/tests/owner/rows.rs
+++ b/crates/sched/tests/owner/rows.rs
@@ -418,3 +418,38 @@
     assert!(!rest.is_empty(), "the row has losses");
     assert!(postcard::from_bytes::<StateWithoutLosses>(bytes).is_ok());
 }
+
+/// Submission row as a build without the settings of the acceptance declares it.
+#[derive(serde::Serialize, serde::Deserialize)]
+struct SubmissionWithoutSettings {
+    queue: Name,
+    service: Name,
+    team: Name,
+    graph: Graph,
+}
+
+/// Guards against losing jobs with the upgrade to a build that keeps the settings of the
+/// acceptance, or with the rollback to one that does not.
+#[test]
+fn submission_rows_are_read_across_builds() {
+    let mut owner = Harness::new("owner", 0.25, Vec::new());
+    owner.advance(Duration::from_secs(1));
+    owner.submit_plain("0000000000000001");
+    owner.advance(Duration::from_millis(300));
+    let mut writes = owner.commits.iter().flat_map(|(_, t)| &t.writes);
+    let row = writes.find(|write| write.key == "job/0000000000000001");
+    let bytes = row.and_then(|write| write.value.clone()).expect("a row");
+
+    let (former, rest): (SubmissionWithoutSettings, &[u8]) =
+        postcard::take_from_bytes(&bytes).expect("readable without settings");
+    assert!(!rest.is_empty(), "the row has settings");
+    assert!(postcard::from_bytes::<SubmissionWithoutSettings>(&bytes).is_ok());
+
+    let mut successor = successor_of(&owner);
+    let row = postcard::to_stdvec(&former).expect("encodable");
+    successor.replace_job_row("job/0000000000000001", row);
+    successor.starts_run = true;
+    successor.advance(Duration::from_secs(12));
+    assert!(malformed_keys(&successor).is_empty());
+    assert!(!successor.started.is_empty());
+}
