--- a/crates/sched/src/losses/open.rs
+++ b/crates/sched/src/losses/open.rs
@@ -139,11 +139,12 @@
         let runs = self.open_losses.0.values().flatten();
         let holders: BTreeSet<TaskRef> = runs.map(|run| self.loss_holder(run.task)).collect();
         self.close_ended_losses(cx);
-        let undecided = |holder: &TaskRef| self.undecided_losses(*holder, cx);
-        let given_up: Vec<TaskRef> = holders
-            .into_iter()
-            .filter(|holder| self.exceeds_limit(*holder, undecided(holder)))
-            .collect();
+        let is_given_up = |holder: &TaskRef| {
+            // Few tasks would be given up even if all of their losses counted.
+            self.exceeds_limit(*holder, 0)
+                && self.exceeds_limit(*holder, self.undecided_losses(*holder, cx))
+        };
+        let given_up: Vec<TaskRef> = holders.into_iter().filter(is_given_up).collect();
         self.give_up_tasks(given_up, cx);
     }
 
@@ -159,7 +160,8 @@
                 let holder = self.loss_holder(run.task);
                 let (ledger, open_losses) = (&self.ledger, &mut self.open_losses);
                 open_losses.retain(|other| {
-                    other.number != run.number || ledger.loss_holder(other.task) != holder
+                    (other.task.step, other.number) != (run.task.step, run.number)
+                        || ledger.loss_holder(other.task) != holder
                 });
                 self.mark_dirty_lazily(run.task.step.job, cx.now());
             }
@@ -188,7 +190,7 @@
         let open = self.open_losses.0.iter();
         let runs = open.filter(|(incarnation, _)| applies(incarnation));
         let runs = runs.flat_map(|(_, runs)| runs);
-        runs.filter(|run| self.loss_holder(run.task) == holder)
+        runs.filter(|run| run.task.step == holder.step && self.loss_holder(run.task) == holder)
             .map(|run| run.number)
             .collect()
     }
