Keep the loss of a gang whose other members' servers were only silent

Callers could have seen a gang crash server after server: with one member's server crashed and another's cut off, the answer of the second withdrew the loss.

Now a crash closes the open losses of that run number, and a loss that is final is not opened again by a silent server.

Before: a_crash_under_a_gang_counts_beside_a_server_that_is_cut_off failed with 11 starts. After: it passes.

--- a/crates/sched/src/losses.rs
+++ b/crates/sched/src/losses.rs
@@ -97,6 +97,10 @@
         self.0.is_empty()
     }
 
+    fn contains(&self, run: Attempt) -> bool {
+        self.0.iter().any(|(number, _)| *number == run)
+    }
+
     fn attributed(&self) -> usize {
         let attributed = self.0.iter().filter(|(_, e)| *e == Evidence::Attributed);
         attributed.count()
@@ -132,7 +136,7 @@
         self.ledger.loss_holder(task)
     }
 
-    fn losses(&self, task: TaskRef) -> Option<&Losses> {
+    pub(crate) fn losses(&self, task: TaskRef) -> Option<&Losses> {
         let holder = self.ledger.task(self.loss_holder(task));
         holder.map(|task| &task.losses)
     }
@@ -192,6 +196,9 @@
         let runs: Vec<RunRef> = self.fleet.get(ix).runs.iter().copied().collect();
         let evidence = |run: &RunRef| Some((*run, self.crash_evidence(ix, *run, silent_at)?));
         let lost: Vec<(RunRef, Evidence)> = runs.iter().filter_map(evidence).collect();
+        for (run, _) in &lost {
+            self.close_loss(*run);
+        }
         let noted = lost.into_iter();
         let holders: Vec<TaskRef> = noted
             .filter_map(|(run, e)| self.note_loss_on(ix, run, e))
@@ -265,8 +272,12 @@
         let lost: Vec<RunRef> = runs.iter().filter(counts).copied().collect();
         let incarnation = (server.listing.id.clone(), server.listing.incarnation);
         for run in lost {
+            // Another member of the gang may have been lost in a crash.
+            let is_final = self.is_final_loss(run);
             self.note_loss_on(ix, run, Evidence::Weak);
-            self.open_losses.note(incarnation.clone(), run);
+            if !is_final {
+                self.open_losses.note(incarnation.clone(), run);
+            }
         }
     }
 
--- a/crates/sched/src/losses/open.rs
+++ b/crates/sched/src/losses/open.rs
@@ -157,17 +157,30 @@
             }
             let ended = self.open_losses.0.remove(&incarnation);
             for run in ended.into_iter().flatten() {
-                let holder = self.loss_holder(run.task);
-                let (ledger, open_losses) = (&self.ledger, &mut self.open_losses);
-                open_losses.retain(|other| {
-                    (other.task.step, other.number) != (run.task.step, run.number)
-                        || ledger.loss_holder(other.task) != holder
-                });
+                self.close_loss(run);
                 self.mark_dirty_lazily(run.task.step.job, cx.now());
             }
         }
     }
 
+    /// Makes a loss final, since a server with a run of that number has ended.
+    pub(crate) fn close_loss(&mut self, run: RunRef) {
+        let holder = self.loss_holder(run.task);
+        let (ledger, open_losses) = (&self.ledger, &mut self.open_losses);
+        open_losses.retain(|other| {
+            (other.task.step, other.number) != (run.task.step, run.number)
+                || ledger.loss_holder(other.task) != holder
+        });
+    }
+
+    /// True when a loss of that number was noted, and is not open.
+    pub(crate) fn is_final_loss(&self, run: RunRef) -> bool {
+        let holder = self.loss_holder(run.task);
+        let losses = self.losses(holder);
+        losses.is_some_and(|losses| losses.contains(run.number))
+            && !self.open_numbers(holder, |_| true).contains(&run.number)
+    }
+
     fn fate(&self, (id, incarnation): &Incarnation, cx: &Cx<'_>) -> Fate {
         let known = self.fleet.find(id).map(|ix| self.fleet.get(ix));
         let gone_at = cx.now().saturating_sub(RETURN_TIME);
--- a/crates/sched/tests/owner/losses.rs
+++ b/crates/sched/tests/owner/losses.rs
@@ -339,3 +339,46 @@
         assert!(has_failed(&harness) && was_given_up(&harness), "{case}");
     }
 }
+
+/// Guards against withdrawing a crash under one member of a gang, because the backend server
+/// of another member was only silent and answers again.
+#[test]
+fn a_crash_under_a_gang_counts_beside_a_server_that_is_cut_off() {
+    for crash_first in [false, true] {
+        let mut harness = owner_of(10);
+        harness.submit_to(&format!("/plain/{JOB}"), wide(2, true));
+        harness.advance(Duration::from_secs(1));
+
+        for incarnation in 2..12 {
+            let servers = busy(&harness, 2);
+            let [crashed, silent] = &servers[..] else {
+                break;
+            };
+            let next = Listing {
+                incarnation,
+                ..named_listing(crashed)
+            };
+            harness.unreachable.insert(silent.clone());
+            harness.restart(crashed, incarnation);
+            if crash_first {
+                harness.deliver(Event::ServerListed(next.clone()));
+            }
+            harness.advance(LAPSE_TIME);
+            let lists = harness.fleet.get_mut(silent).expect("a server");
+            lists.end(RunOutcome::Lapsed, |_| true);
+            if !crash_first {
+                harness.deliver(Event::ServerListed(next));
+            }
+            mend(&mut harness);
+        }
+
+        let mut starts: Vec<u64> = harness.placements.iter().map(|(_, r)| r.number).collect();
+        starts.sort_unstable();
+        starts.dedup();
+        assert!(
+            starts.len() < TOO_MANY_STARTS,
+            "crash first: {crash_first}: {starts:?}"
+        );
+        assert!(was_given_up(&harness), "crash first: {crash_first}");
+    }
+}
