--- a/review/standin2.py
+++ b/review/standin2.py
@@ -143,6 +143,8 @@
         self.free_at = {}
         self.connections = set()
         self.silent = False
+        self.outages = 0  # calls that were pending in one are never answered
+        self.applied = lambda call: None  # told of a write whose answer leaves now
         self.loses_answer = lambda call: None  # how late a write is done, unanswered
         self.late_s = None  # delay of unanswered writes; None: they are not done
         self.rejected = {}  # writes rejected because a value is too large, by key
@@ -168,6 +170,15 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def be_down(self, for_s):
+        """Is silent for a time. What was pending is not answered either."""
+        self.record.line("store: silent")
+        self.silent = True
+        self.outages += 1
+        await asyncio.sleep(for_s)
+        self.silent = False
+        self.record.line("store: answers again")
+
     def operator_put(self, table, key, value):
         """A write of the operator or of an executor; None removes the row."""
         self.version += 1
@@ -249,8 +260,11 @@
         for removal in removals:
             self.put(removal["Table"], part, removal["Key"], None)
         self.wake()
+        if self.silent:
+            return None
         answer = self.answer(200)
-        return None if self.silent else answer
+        self.applied(body)
+        return answer
 
     def get(self, query):
         table, part = query["Table"], query.get("part", "")
@@ -269,8 +283,9 @@
         table, after = query["Table"], int(query["DependsOn"])
         loop = asyncio.get_running_loop()
         until = loop.time() + min(int(query.get("WaitMs", "0")), 30_000) / 1_000
+        outages = self.outages
         while True:
-            if self.silent:
+            if self.silent or self.outages != outages:
                 return None
             at = bisect.bisect_right(self.history, after, key=lambda entry: entry[0])
             rows = []
