--- a/review/standin2.py
+++ b/review/standin2.py
@@ -664,9 +664,9 @@
         capacity = capacity or {"Cpu": 16_000, "MemMb": 65_536}
         for number in range(executors):
             rack = f"r1-{number // 2}"
-            server = Executor(
-                self, f"i-{number:04x}", "dispatch", f"{self.net}.2", capacity, ["a", rack]
-            )
+            # An address of its own each, so that no two draw the same free port.
+            host = f"{self.net}.{100 + number}"
+            server = Executor(self, f"i-{number:04x}", "dispatch", host, capacity, ["a", rack])
             self.servers.append(server)
         self.entries = [
             Entry(self, f"edge-z1-{n}", f"{self.net}.{10 + n}", "z1") for n in range(entries)
