Stop the other attempts of a gang that has completed

Cause: when a member ended as completed, all runs of the step were marked as stopping and acknowledged. That holds for the members of the same attempt, which end together, but not for other attempts: no stop was ever sent to them, and the end of the job skips runs that are stopping.

The members of other attempts are now stopped by order. On related paths, a listed run of a task that is done is stopped, which a successor did not do for runs that it knew from a record, and a stop is sent again to a run that is still listed 1 s after its stop was acknowledged.

--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -10,7 +10,7 @@
 use crate::accounts;
 use crate::event::{Effect, Finished, Metric};
 use crate::fleet::ServerIx;
-use crate::ledger::{JobIx, RunRef, RunState, StepRef, TaskRef, runs_of_step};
+use crate::ledger::{JobIx, RunRef, RunState, TaskRef, runs_of_step};
 use crate::notice::{Notice, ms};
 use crate::owner::{Cx, Owner};
 
@@ -53,7 +53,7 @@
                     .get_mut(server)
                     .health
                     .record_completion(ms(cx.now()));
-                self.task_completed(task, ran, cx);
+                self.task_completed(run, ran, cx);
             }
             RunOutcome::Failed => self.run_failed(run, server, ordered_at, cx),
             RunOutcome::Stopped
@@ -114,10 +114,11 @@
 
     fn task_completed(
         &mut self,
-        task: TaskRef,
+        run: RunRef,
         ran: Option<(ServerIx, Duration)>,
         cx: &mut Cx<'_>,
     ) {
+        let task = run.task;
         let Some(spec) = self.ledger.spec(task.step) else {
             return;
         };
@@ -140,21 +141,24 @@
             }
         }
         match gang {
-            true => self.await_gang_exit(task.step, cx),
+            true => self.await_gang_exit(run, cx),
             false => self.stop_other_runs(task, cx),
         }
     }
 
-    /// Marks the runs of a completed gang as stopping. Its members end together
-    /// without a stop order, and hold their resources until their backend servers
-    /// no longer list them.
-    fn await_gang_exit(&mut self, step: StepRef, cx: &Cx<'_>) {
+    /// Marks the runs of the attempt with which a gang completed as stopping. Its members
+    /// end together without a stop order, and hold their resources until their backend
+    /// servers no longer list them. The members of other attempts go on, and are stopped.
+    fn await_gang_exit(&mut self, completed: RunRef, cx: &mut Cx<'_>) {
+        let step = completed.task.step;
         let state = self.ledger.step(step);
         let runs: Vec<RunRef> = state
             .map(|state| runs_of_step(step, state).collect())
             .unwrap_or_default();
         for run in runs {
-            if let Some(placed) = self.ledger.runs.get_mut(&run) {
+            if run.number != completed.number {
+                self.stop_run(run, "another attempt of the gang completed", cx);
+            } else if let Some(placed) = self.ledger.runs.get_mut(&run) {
                 placed.state = RunState::Stopping;
                 placed.stop_acknowledged_at = Some(cx.now());
             }
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -25,6 +25,9 @@
 const MAX_LISTED_ENDS: usize = 500;
 /// Delay before the stop of an orphan run is sent again.
 const ORPHAN_STOP_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Time after an acknowledged stop within which the run has ended on a sound backend
+/// server.
+const MAX_STOP_TIME: Duration = Duration::from_millis(1_000);
 /// Lower and upper bound of the additional delay between renewals while the effects
 /// of ended runs are not yet committed.
 const UNACKNOWLEDGED_PAUSE: (Duration, Duration) =
@@ -306,7 +309,7 @@
                 Some(task) => {
                     let run = task.run(progress.run.number);
                     listed.insert(run);
-                    self.process_progress(ix, run, progress, cx);
+                    self.process_progress(ix, run, progress, sent_at, cx);
                 }
                 None => self.stop_orphan_run(ix, &progress.run, cx),
             }
@@ -325,6 +328,7 @@
         ix: ServerIx,
         run: RunRef,
         progress: &Progress,
+        sent_at: Duration,
         cx: &mut Cx<'_>,
     ) {
         match self.ledger.runs.get_mut(&run) {
@@ -345,15 +349,34 @@
         }
         self.save_checkpoint(run.task, &progress.checkpoint);
         self.job_started(run.task.step.job, cx);
-        self.stop_if_job_ended(run, cx);
+        match self.is_stopping(run) {
+            true => self.repeat_ineffective_stop(run, sent_at),
+            false => self.stop_if_unneeded(run, cx),
+        }
     }
 
-    /// Stops a run whose job has ended. After a takeover, such a run may have been
-    /// restored from the job's record.
-    fn stop_if_job_ended(&mut self, run: RunRef, cx: &mut Cx<'_>) {
+    /// Stops a run whose job has ended or whose task is done. After a takeover, such a run
+    /// may have been restored from the job's record.
+    fn stop_if_unneeded(&mut self, run: RunRef, cx: &mut Cx<'_>) {
         let job = self.ledger.jobs.get(&run.task.step.job);
-        if job.is_some_and(|job| job.stage.is_terminal()) && !self.is_stopping(run) {
-            self.stop_run(run, "job ended", cx);
+        let done = self.ledger.task(run.task).is_some_and(|task| task.done);
+        match job.is_some_and(|job| job.stage.is_terminal()) {
+            true => self.stop_run(run, "job ended", cx),
+            false if done => self.stop_run(run, "task is done", cx),
+            false => {}
+        }
+    }
+
+    /// Makes a stop due again whose run is still listed by a response to a renewal that was
+    /// sent at `sent_at`, long after the stop was acknowledged: another incarnation
+    /// acknowledged it, or the run did not end with its gang.
+    fn repeat_ineffective_stop(&mut self, run: RunRef, sent_at: Duration) {
+        let Some(placed) = self.ledger.runs.get_mut(&run) else {
+            return;
+        };
+        let overdue = |at: &mut Duration| *at + MAX_STOP_TIME <= sent_at;
+        if placed.stop_acknowledged_at.take_if(overdue).is_some() {
+            placed.next_stop_at = Duration::ZERO;
         }
     }
 
--- a/crates/sched/tests/owner/harness.rs
+++ b/crates/sched/tests/owner/harness.rs
@@ -882,3 +882,38 @@
     harness.advance(Duration::from_secs(1));
     harness
 }
+
+/// Longest time until the leases on a backend server that is cut off have certainly ended.
+pub(crate) const LAPSE_TIME: Duration = Duration::from_secs(8);
+
+/// One task or gang of `tasks` that take a backend server each.
+pub(crate) fn wide(tasks: u32, gang: bool) -> Graph {
+    let step = graph().steps.swap_remove(0);
+    Graph {
+        steps: vec![Step {
+            tasks,
+            gang,
+            each: Resources::of(40_000, 512, 0, 0),
+            ..step
+        }],
+        ..graph()
+    }
+}
+
+/// Backend servers that run something, at most `count`.
+pub(crate) fn busy(harness: &Harness, count: usize) -> Vec<Name> {
+    let running = harness.fleet.iter();
+    let running = running.filter(|(_, lists)| !lists.running.is_empty());
+    running.map(|(id, _)| id.clone()).take(count).collect()
+}
+
+/// Takes over from an owner that is killed, with the backend servers as they are.
+pub(crate) fn replace_owner(owner: Harness, term: usize) -> Harness {
+    let mut successor = successor_named(&"owner".repeat(term + 2), &owner);
+    successor.renews_by_tick = true;
+    successor.listings = owner.listings;
+    successor.fleet = owner.fleet;
+    successor.unreachable = owner.unreachable;
+    successor.now = owner.now;
+    successor
+}
--- a/crates/sched/tests/owner/losses.rs
+++ b/crates/sched/tests/owner/losses.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use model::{Graph, Name, Resources, RunKey, RunOutcome, Stage, Step};
+use model::{Graph, Name, RunKey, RunOutcome, Stage, Step};
 use sched::{Event, Listing, Notice};
 
 use crate::harness::{
-    Harness, TICK, graph, listing, named_listing, owner_of, successor_named, successor_of,
+    Harness, LAPSE_TIME, TICK, busy, graph, listing, named_listing, owner_of, replace_owner,
+    successor_of, wide,
 };
 
 /// Starts of a task after three of its backend servers have crashed that are too many,
@@ -175,30 +176,6 @@
     assert!(!has_failed(&harness));
 }
 
-/// Longest time until the leases on a backend server that is cut off have certainly ended.
-const LAPSE_TIME: Duration = Duration::from_secs(8);
-
-/// One task or gang of `tasks` that take a backend server each.
-fn wide(tasks: u32, gang: bool) -> Graph {
-    let step = graph().steps.swap_remove(0);
-    Graph {
-        steps: vec![Step {
-            tasks,
-            gang,
-            each: Resources::of(40_000, 512, 0, 0),
-            ..step
-        }],
-        ..graph()
-    }
-}
-
-/// Backend servers that run something, at most `count`.
-fn busy(harness: &Harness, count: usize) -> Vec<Name> {
-    let running = harness.fleet.iter();
-    let running = running.filter(|(_, lists)| !lists.running.is_empty());
-    running.map(|(id, _)| id.clone()).take(count).collect()
-}
-
 /// Cuts backend servers off until the leases there have lapsed. The members of a gang that
 /// run elsewhere end with those there.
 fn cut(harness: &mut Harness, servers: &[Name], gang: bool) {
@@ -224,17 +201,6 @@
     harness.advance(Duration::from_secs(3));
 }
 
-/// Takes over from an owner that is killed, with the backend servers as they are.
-fn replace_owner(owner: Harness, term: usize) -> Harness {
-    let mut successor = successor_named(&"owner".repeat(term + 2), &owner);
-    successor.renews_by_tick = true;
-    successor.listings = owner.listings;
-    successor.fleet = owner.fleet;
-    successor.unreachable = owner.unreachable;
-    successor.now = owner.now;
-    successor
-}
-
 /// Guards against giving up a gang, or a task, because its backend servers are cut off again
 /// and again and go on: nothing crashes.
 #[test]
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -3,6 +3,7 @@
 
 mod acceptance;
 mod capacity;
+mod gangs;
 mod harness;
 mod health;
 mod losses;
