Guard each row of the roster by its version

Cause: writes of the roster were conditional on the owner row alone, which does not change within a term, so a write that is applied late replaced a newer one. Rows without entries were deleted, after which a late write that expects no row would hold again.

Each write is now also conditional on the versions of the rows that it replaces, as read, written, or reported by a conflict. Rows without entries are written empty.

--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -112,12 +112,7 @@
         }
     }
 
-    fn task_completed(
-        &mut self,
-        run: RunRef,
-        ran: Option<(ServerIx, Duration)>,
-        cx: &mut Cx<'_>,
-    ) {
+    fn task_completed(&mut self, run: RunRef, ran: Option<(ServerIx, Duration)>, cx: &mut Cx<'_>) {
         let task = run.task;
         let Some(spec) = self.ledger.spec(task.step) else {
             return;
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -6,12 +6,14 @@
 //! of a row.
 //!
 //! Invariant: a backend server is called only after the row that lists it was
-//! written, on the version of the owner row.
+//! written, on the versions of the owner row and of the row itself. A write that is
+//! applied late therefore replaces nothing newer. Rows are not deleted, since a write
+//! that expects no row would be applied again after a deletion.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use model::{Resources, Row, Transaction};
+use model::{Condition, Resources, Row, Transaction};
 
 use crate::commit::{put, remove};
 use crate::event::{CallId, Effect, Listing, StoreError, StoreResponse, live_value};
@@ -44,6 +46,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
     changed: BTreeSet<ChunkId>,
+    /// Versions of the rows as last read or written; a row that is missing does not exist.
+    versions: BTreeMap<ChunkId, u64>,
     in_flight: Option<RosterWrite>,
     next_write_at: Duration,
     /// An earlier build's row with the whole roster exists.
@@ -60,6 +64,17 @@
     pub(crate) fn mark_changed(&mut self, id: &model::Name) {
         self.changed.insert(chunk_of(id));
     }
+
+    /// Adopts the versions of rows that a conflict reports. They stem from an earlier write
+    /// of this owner whose response was lost.
+    fn adopt_versions(&mut self, chunks: &BTreeSet<ChunkId>, rows: &[Row]) {
+        for chunk in chunks {
+            let key = rows::roster_key(*chunk);
+            let row = rows.iter().find(|row| row.key == key);
+            let version = row.map_or(0, |row| row.cell.version);
+            self.versions.insert(*chunk, version);
+        }
+    }
 }
 
 impl Owner {
@@ -87,11 +102,16 @@
                 });
             }
         }
-        let write = |chunk: &ChunkId| match entries.get(chunk) {
-            Some(entries) => put(rows::roster_key(*chunk), rows::encode(entries)),
-            None => remove(rows::roster_key(*chunk)),
+        let write = |chunk: &ChunkId| {
+            let entries = entries.remove(chunk).unwrap_or_default();
+            put(rows::roster_key(*chunk), rows::encode(&entries))
         };
         let mut writes: Vec<model::Write> = chunks.iter().map(write).collect();
+        let mut conditions = vec![owner_condition(cx)];
+        conditions.extend(chunks.iter().map(|chunk| Condition {
+            key: rows::roster_key(*chunk),
+            version: self.roster.versions.get(chunk).copied().unwrap_or(0),
+        }));
         if self.roster.has_undivided_row {
             writes.push(remove(rows::UNDIVIDED_ROSTER_KEY.into()));
         }
@@ -104,10 +124,7 @@
         cx.out.push(Effect::Commit {
             call,
             partition: CELL_PARTITION,
-            transaction: Transaction {
-                conditions: vec![owner_condition(cx)],
-                writes,
-            },
+            transaction: Transaction { conditions, writes },
             timeout: None,
         });
     }
@@ -124,9 +141,11 @@
             return false;
         };
         match result {
-            Ok(StoreResponse::Applied { clock, .. }) => {
+            Ok(StoreResponse::Applied { version, clock }) => {
                 cx.term.observe_store_clock(*clock, cx.now());
                 self.roster.has_undivided_row = false;
+                let written = write.chunks.iter().map(|chunk| (*chunk, *version));
+                self.roster.versions.extend(written);
                 for server in &mut self.fleet.servers {
                     let rewritten = write.chunks.contains(&chunk_of(&server.listing.id));
                     server.in_stored_roster &= !rewritten;
@@ -144,6 +163,7 @@
             Ok(StoreResponse::Rows { .. }) | Err(_) => {
                 if let Err(StoreError::Conflict(rows)) = result {
                     self.verify_ownership(rows, cx);
+                    self.roster.adopt_versions(&write.chunks, rows);
                 }
                 self.roster.changed.extend(write.chunks);
                 self.roster.next_write_at = cx.now() + WRITE_RETRY_DELAY;
@@ -156,6 +176,11 @@
     /// row of a build that kept the whole roster in one.
     pub(crate) fn load_roster(&mut self, chunks: &[Row], undivided: Option<&Row>, cx: &mut Cx<'_>) {
         self.roster.has_undivided_row = undivided.is_some_and(|row| live_value(row).is_some());
+        let chunk_of_row = |row: &Row| (0..ROSTER_CHUNKS).find(|c| rows::roster_key(*c) == row.key);
+        let versions = chunks
+            .iter()
+            .filter_map(|row| Some((chunk_of_row(row)?, row.cell.version)));
+        self.roster.versions = versions.collect();
         for row in chunks.iter().chain(undivided) {
             let Some(bytes) = live_value(row) else {
                 continue;
--- a/crates/sched/tests/owner/harness.rs
+++ b/crates/sched/tests/owner/harness.rs
@@ -184,6 +184,10 @@
     pub(crate) job_partitions_down: bool,
     /// Whether writes to the job partitions get no answer.
     pub(crate) job_writes_lost: bool,
+    /// Whether writes of the roster get no answer, and are kept in `late_writes`.
+    pub(crate) roster_writes_lost: bool,
+    /// Writes without an answer that may still be applied.
+    pub(crate) late_writes: Vec<Transaction>,
     /// Job partition to which it rejects writes.
     pub(crate) partition_down: Option<PartitionId>,
     /// Scans of the job table, by partition.
@@ -242,6 +246,12 @@
     pub(crate) replaced: BTreeSet<Name>,
 }
 
+/// True when a transaction writes to a table.
+fn writes_to(transaction: &Transaction, table: &str) -> bool {
+    let mut writes = transaction.writes.iter();
+    writes.any(|write| write.key.starts_with(table))
+}
+
 /// True for the write with which a job is accepted.
 pub(crate) fn is_submission(transaction: &Transaction) -> bool {
     let mut writes = transaction.writes.iter();
@@ -287,6 +297,8 @@
             cell_partition_down: false,
             job_partitions_down: false,
             job_writes_lost: false,
+            roster_writes_lost: false,
+            late_writes: Vec::new(),
             partition_down: None,
             job_scans: Vec::new(),
             incarnation: 1,
@@ -425,6 +437,22 @@
                 let result = Err(StoreError::Unknown);
                 self.deliver(Event::StoreAnswered { call, result });
             }
+            Effect::Commit {
+                call, transaction, ..
+            } if self.roster_writes_lost && writes_to(&transaction, "roster/") => {
+                self.late_writes.push(transaction);
+                self.now += LOST_WRITE_TIME;
+                let result = Err(StoreError::Unknown);
+                self.deliver(Event::StoreAnswered { call, result });
+            }
+            Effect::Commit {
+                call, transaction, ..
+            } if self.conflicts(&transaction) => {
+                let keys = transaction.conditions.into_iter().map(|c| c.key);
+                let rows = keys.filter_map(|key| self.guarded_row(&key).cloned());
+                let result = Err(StoreError::Conflict(rows.collect()));
+                self.deliver(Event::StoreAnswered { call, result });
+            }
             Effect::Reply { reply, .. } => self.replies.push(reply),
             Effect::Commit {
                 call,
@@ -433,25 +461,10 @@
                 ..
             } => {
                 self.commits.push((partition, transaction.clone()));
-                let has = |table: &str| {
-                    let mut writes = transaction.writes.iter();
-                    writes.any(|write| write.key.starts_with(table))
-                };
+                let has = |table: &str| writes_to(&transaction, table);
                 // Accepting a job writes rows in both tables.
                 self.states_written += u32::from(has("state/") && !has("job/"));
-                self.version += 1;
-                let version = self.version;
-                let rows = transaction.writes.into_iter().filter_map(|write| {
-                    let value = write.value?;
-                    let cell = Cell { version, value };
-                    Some(Row {
-                        key: write.key,
-                        cell,
-                    })
-                });
-                for row in rows {
-                    self.store_row(row);
-                }
+                self.store_rows(transaction);
                 let result = Ok(StoreResponse::Applied {
                     version: self.version,
                     clock: self.now,
@@ -668,6 +681,54 @@
         }
     }
 
+    /// Row of the cell's partition whose version the table service checks.
+    fn guarded_row(&self, key: &str) -> Option<&Row> {
+        let mut rows = self.roster_rows.iter().chain(&self.cell_rows);
+        rows.find(|row| row.key == key)
+    }
+
+    /// True when a condition on a row of the roster does not hold.
+    fn conflicts(&self, transaction: &Transaction) -> bool {
+        let mut conditions = transaction.conditions.iter();
+        conditions.any(|condition| {
+            let version = self
+                .guarded_row(&condition.key)
+                .map_or(0, |r| r.cell.version);
+            condition.key.starts_with("roster/") && version != condition.version
+        })
+    }
+
+    /// Applies the writes without an answer whose conditions hold.
+    pub(crate) fn apply_late_writes(&mut self) {
+        for transaction in std::mem::take(&mut self.late_writes) {
+            if !self.conflicts(&transaction) {
+                self.store_rows(transaction);
+            }
+        }
+    }
+
+    /// True when the stored roster lists a backend server.
+    pub(crate) fn roster_lists(&self, id: &str) -> bool {
+        let names = |row: &Row| row.cell.value.windows(id.len()).any(|w| w == id.as_bytes());
+        self.roster_rows.iter().any(names)
+    }
+
+    fn store_rows(&mut self, transaction: Transaction) {
+        self.version += 1;
+        let version = self.version;
+        let rows = transaction.writes.into_iter().filter_map(|write| {
+            let value = write.value?;
+            let cell = Cell { version, value };
+            Some(Row {
+                key: write.key,
+                cell,
+            })
+        });
+        for row in rows {
+            self.store_row(row);
+        }
+    }
+
     pub(crate) fn store_row(&mut self, row: Row) {
         if row.key.starts_with("job/") {
             self.accepted.push(row);
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -8,6 +8,7 @@
 mod health;
 mod losses;
 mod room;
+mod roster;
 mod rows;
 mod servers;
 mod takeover;
