Count the leases on backend servers that only a record names

Cause: the successor knew the server from the registry, and not from the roster. It was then not among those that an earlier owner may have called, and the end of its leases was zero, although a record named it. The same held for a server whose entry in the roster is that of an earlier incarnation, if the registry was read before the roster; and an incarnation older than that in the roster was used if the registry was read from an older copy.

A record of a run now marks its backend server as inherited, and so does an entry of the roster with another incarnation; the newer incarnation is used.

Evidence: a_recorded_run_lasts_as_long_as_its_lease_whatever_the_roster_lists fails before the fix for a server that the roster lacks, and passes now, also for restarted ones.

--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -251,7 +251,9 @@
                 self.update_listing(ix, listing, cx);
             }
             Some(ix) if self.fleet.get(ix).listing.incarnation > listing.incarnation => {}
-            Some(ix) => self.replace_incarnation(ix, listing, true, cx),
+            Some(ix) => {
+                self.replace_incarnation(ix, listing, true, cx);
+            }
             None => {
                 self.roster.mark_changed(&listing.id);
                 self.fleet.add(listing, true);
@@ -263,14 +265,14 @@
     /// addressed by id, so orders that the old incarnation is not certain to have
     /// executed may have reached the new one. Their runs are transferred to the
     /// new incarnation until its run lists say otherwise. `listed` is true if the registry
-    /// has an entry for the new one.
+    /// has an entry for the new one. Returns the new incarnation.
     pub(crate) fn replace_incarnation(
         &mut self,
         old: ServerIx,
         listing: Listing,
         listed: bool,
         cx: &mut Cx<'_>,
-    ) {
+    ) -> ServerIx {
         self.roster.mark_changed(&listing.id);
         let given_up = self.note_crash(old, cx);
         let new = self.fleet.add(listing, listed);
@@ -305,6 +307,7 @@
         server.inherited = may_have_prior_orders;
         self.incarnation_ended(old, "a newer incarnation was seen", cx);
         self.give_up_tasks(given_up, cx);
+        new
     }
 
     fn update_listing(&mut self, ix: ServerIx, listing: Listing, cx: &mut Cx<'_>) {
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -518,6 +518,9 @@
         let Some(server) = self.fleet.find(id) else {
             return;
         };
+        // The record proves that an earlier owner may have called it, whatever the roster
+        // lists, so its leases may be in effect.
+        self.fleet.get_mut(server).inherited = true;
         for &(occurrence, step, index, number) in runs {
             let step = StepRef {
                 job,
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -10,6 +10,7 @@
 //! applied late therefore replaces nothing newer. Rows are not deleted, since a write
 //! that expects no row would be applied again after a deletion.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -188,7 +189,7 @@
             match rows::decode::<Vec<RosterEntry>>(bytes) {
                 Some(entries) => entries
                     .into_iter()
-                    .for_each(|e| self.load_roster_entry(e, cx.now())),
+                    .for_each(|e| self.load_roster_entry(e, cx)),
                 None => cx.log(Notice::RowMalformed {
                     key: row.key.clone(),
                 }),
@@ -200,27 +201,32 @@
         }
     }
 
-    fn load_roster_entry(&mut self, entry: RosterEntry, now: Duration) {
-        let listed = self.fleet.find(&entry.id);
-        let same = |ix: &ServerIx| self.fleet.get(*ix).listing.incarnation == entry.incarnation;
-        let ix = match listed.filter(same) {
-            Some(ix) => ix,
-            // Another incarnation is in the registry, so this one has terminated.
-            None if listed.is_some() => {
+    fn load_roster_entry(&mut self, entry: RosterEntry, cx: &mut Cx<'_>) {
+        let listing = Listing {
+            id: entry.id.clone(),
+            incarnation: entry.incarnation,
+            address: entry.address,
+            capacity: entry.capacity,
+            ..Listing::default()
+        };
+        let known = self.fleet.find(&entry.id);
+        let incarnation = known.map(|ix| self.fleet.get(ix).listing.incarnation);
+        let ix = match (known, incarnation.cmp(&Some(entry.incarnation))) {
+            (Some(ix), Ordering::Equal) => ix,
+            // The listed incarnation has terminated. Orders to it may be executed by the next
+            // one, which the registry shows.
+            (Some(ix), Ordering::Greater) => {
+                let server = self.fleet.get_mut(ix);
+                server.inherited = true;
+                server.peak_capacity = server.peak_capacity.max(entry.capacity);
                 self.roster.mark_changed(&entry.id);
                 return;
             }
-            None => self.fleet.add(
-                Listing {
-                    id: entry.id,
-                    incarnation: entry.incarnation,
-                    address: entry.address,
-                    capacity: entry.capacity,
-                    ..Listing::default()
-                },
-                false,
-            ),
+            // The registry was read from a copy that is older than the roster.
+            (Some(ix), Ordering::Less) => self.replace_incarnation(ix, listing, false, cx),
+            (None, _) => self.fleet.add(listing, false),
         };
+        let now = cx.now();
         let unlisted = self.recovery.registry_loaded && !self.fleet.get(ix).listed;
         let server = self.fleet.get_mut(ix);
         if !server.listing.capacity.fits(&entry.capacity) {
--- a/crates/sched/tests/owner/takeover.rs
+++ b/crates/sched/tests/owner/takeover.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use model::{Attempt, Name, Resources};
+use model::{Attempt, Name, Resources, Row};
 use sched::{Event, Listing, Notice};
 
 use crate::harness::{
@@ -363,3 +363,31 @@
 
     assert!(!successor.starts.is_empty(), "{:?}", successor.notices);
 }
+
+/// Guards against tasks that run twice after a takeover. The roster as stored lacks a backend
+/// server, or lists its former incarnation, and the server does not answer the successor. The
+/// record of the run proves that the predecessor called it.
+#[test]
+fn a_recorded_run_lasts_as_long_as_its_lease_whatever_the_roster_lists() {
+    let owner = owner_with_run_on_last_of_three();
+    for (incarnation, in_roster) in [(1, false), (2, true), (2, false)] {
+        let case = format!("incarnation {incarnation}, in the roster: {in_roster}");
+        let mut successor = successor_of(&owner);
+        successor.unreachable.insert("last".into());
+        successor.listings = owner.listings.clone();
+        successor.listings[2].incarnation = incarnation;
+        let names_last = |row: &Row| row.cell.value.windows(4).any(|w| w == b"last");
+        successor
+            .roster_rows
+            .retain(|row| in_roster || !names_last(row));
+        take_over(&mut successor, &owner);
+
+        grant_for(&mut successor, &["one", "two"], Duration::from_secs(2));
+        let while_leased = successor.starts.len();
+        successor.deliver(Event::ServerUnlisted("last".into()));
+        grant_for(&mut successor, &["one", "two"], Duration::from_secs(30));
+
+        assert_eq!(while_leased, 0, "{case}: the lease may not have ended");
+        assert!(!successor.starts.is_empty(), "{case}: started once it had");
+    }
+}
