Send recorded starts once orders may be sent again

Cause: the answer to the record of its run came just after a suspension of the owner, while no order may be sent until a write is confirmed that was sent since. The start was dropped without a trace. The record was written, so that no later write listed the run, and placement took the task for one that has a run.

Runs whose records are written are now kept until orders may be sent, and their start orders are sent then; a backend server that drains by that time gets none. Node::verify reports planned runs that would never start.

--- a/crates/sched/src/commit.rs
+++ b/crates/sched/src/commit.rs
@@ -157,6 +157,13 @@
         oldest.is_none_or(|oldest| change < oldest)
     }
 
+    /// True while a write of the state row of a job of a partition is in flight.
+    pub(crate) fn is_in_flight(&self, partition: PartitionId, job: JobIx) -> bool {
+        let commits = self.partitions.get(&partition);
+        let in_flight = commits.and_then(|commits| commits.in_flight.as_ref());
+        in_flight.is_some_and(|commit| commit.jobs.iter().any(|write| write.job == job))
+    }
+
     /// The last change up to which all changes are written.
     pub(crate) fn written_change(&self) -> Change {
         let partitions = self.partitions.values();
@@ -437,9 +444,8 @@
         for write in commit.jobs {
             self.job_row_written(write, partition, version, cx);
         }
-        for run in commit.starts {
-            self.send_start(run, cx);
-        }
+        self.recorded_starts.extend(commit.starts);
+        self.send_recorded_starts(cx);
     }
 
     fn job_row_written(
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -69,18 +69,33 @@
         self.send_start(run, cx);
     }
 
-    /// Sends the start order of a planned run. Does nothing while no orders may
-    /// be sent, and drops the run if the backend server's clock is unknown,
-    /// since the end of the lease is given on that clock.
-    pub(crate) fn send_start(&mut self, run: RunRef, cx: &mut Cx<'_>) {
+    /// Sends the start orders of the planned runs whose records are written. They wait while
+    /// no orders may be sent, as after a suspension of this VM.
+    pub(crate) fn send_recorded_starts(&mut self, cx: &mut Cx<'_>) {
+        if self.recorded_starts.is_empty() || !cx.term.may_order(cx.settings, cx.now()) {
+            return;
+        }
+        for run in std::mem::take(&mut self.recorded_starts) {
+            self.send_start(run, cx);
+        }
+    }
+
+    /// Sends the start order of a planned run; orders may be sent. Drops the run if the
+    /// backend server's clock is unknown, since the end of the lease is given on that clock.
+    fn send_start(&mut self, run: RunRef, cx: &mut Cx<'_>) {
         let timing = &cx.settings.timing;
         let Some(placed) = self.ledger.runs.get(&run) else {
             return;
         };
-        if placed.state != RunState::Planned || !cx.term.may_order(cx.settings, cx.now()) {
+        if placed.state != RunState::Planned {
             return;
         }
         let server = placed.server;
+        // It may have begun to drain while the start waited.
+        if self.fleet.get(server).listing.draining {
+            self.discard_run(run, cx);
+            return;
+        }
         let lease = self.fleet.get(server).new_lease_end(timing, cx.now());
         let Some((lease_end, run_id)) = lease.zip(self.ledger.run_id(run)) else {
             self.discard_run(run, cx);
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -84,6 +84,8 @@
     pub(crate) recovery: Recovery,
     /// Orders in flight, with their backend server and fencing token.
     pub(crate) orders_in_flight: HashMap<CallId, (SentOrder, ServerIx, Epoch)>,
+    /// Planned runs whose records are written, until their start orders may be sent.
+    pub(crate) recorded_starts: Vec<RunRef>,
     pub(crate) orphan_runs: OrphanRuns,
     pub(crate) open_losses: OpenLosses,
     /// Class of each image, under which its run times are estimated.
@@ -126,6 +128,7 @@
             division: Division::default(),
             recovery: Recovery::new(cx.now()),
             orders_in_flight: HashMap::new(),
+            recorded_starts: Vec::new(),
             orphan_runs: HashMap::new(),
             open_losses: OpenLosses::default(),
             image_classes: HashMap::new(),
@@ -490,6 +493,7 @@
     /// Makes the decisions that follow from the events handled so far.
     pub(crate) fn settle(&mut self, cx: &mut Cx<'_>) {
         self.decide_record_trust(cx);
+        self.send_recorded_starts(cx);
         let now = cx.now();
         let due = self.place_due
             && now >= self.last_place_at + self.min_place_interval.max(MIN_PLACE_INTERVAL);
--- a/crates/sched/src/verify.rs
+++ b/crates/sched/src/verify.rs
@@ -21,6 +21,9 @@
     /// A run is missing from its task's list of runs.
     #[error("job {0}: a run is missing from its task's list of runs")]
     RunListMismatch(model::JobId),
+    /// A planned run has no record on the way, and its start order does not wait to be sent.
+    #[error("job {0}: a planned run would never start")]
+    StartForgotten(model::JobId),
 }
 
 impl Owner {
@@ -38,6 +41,18 @@
                 violations.push(Violation::RunListMismatch(id));
             }
         }
+        let planned = self.ledger.runs.iter();
+        let planned = planned.filter(|(_, placed)| placed.state == RunState::Planned);
+        for (run, _) in planned {
+            let job = self.ledger.jobs.get(&run.task.step.job);
+            let awaits_record = job.is_some_and(|job| {
+                job.dirty || self.commits.is_in_flight(job.partition, run.task.step.job)
+            });
+            if !awaits_record && !self.recorded_starts.contains(run) {
+                let id = job.map(|job| job.id.clone()).unwrap_or_default();
+                violations.push(Violation::StartForgotten(id));
+            }
+        }
         violations
     }
 
--- a/crates/sched/tests/owner/harness.rs
+++ b/crates/sched/tests/owner/harness.rs
@@ -188,6 +188,10 @@
     pub(crate) roster_writes_lost: bool,
     /// Writes without an answer that may still be applied.
     pub(crate) late_writes: Vec<Transaction>,
+    /// Whether writes of job states wait for an answer.
+    pub(crate) holds_states: bool,
+    /// Writes of job states that wait, with their call and partition.
+    pub(crate) held_states: Vec<(CallId, PartitionId, Transaction)>,
     /// Job partition to which it rejects writes.
     pub(crate) partition_down: Option<PartitionId>,
     /// Scans of the job table, by partition.
@@ -299,6 +303,8 @@
             job_writes_lost: false,
             roster_writes_lost: false,
             late_writes: Vec::new(),
+            holds_states: false,
+            held_states: Vec::new(),
             partition_down: None,
             job_scans: Vec::new(),
             incarnation: 1,
@@ -445,6 +451,17 @@
                 let result = Err(StoreError::Unknown);
                 self.deliver(Event::StoreAnswered { call, result });
             }
+            Effect::Commit {
+                call,
+                partition,
+                transaction,
+                ..
+            } if self.holds_states
+                && writes_to(&transaction, "state/")
+                && !is_submission(&transaction) =>
+            {
+                self.held_states.push((call, partition, transaction));
+            }
             Effect::Commit {
                 call, transaction, ..
             } if self.conflicts(&transaction) => {
@@ -707,6 +724,19 @@
         }
     }
 
+    /// Applies the writes of job states that wait, and answers them.
+    pub(crate) fn answer_held_states(&mut self) {
+        for (call, partition, transaction) in std::mem::take(&mut self.held_states) {
+            self.commits.push((partition, transaction.clone()));
+            self.store_rows(transaction);
+            let result = Ok(StoreResponse::Applied {
+                version: self.version,
+                clock: self.now,
+            });
+            self.deliver(Event::StoreAnswered { call, result });
+        }
+    }
+
     /// True when the stored roster lists a backend server.
     pub(crate) fn roster_lists(&self, id: &str) -> bool {
         let names = |row: &Row| row.cell.value.windows(id.len()).any(|w| w == id.as_bytes());
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -11,5 +11,6 @@
 mod roster;
 mod rows;
 mod servers;
+mod starts;
 mod takeover;
 mod term;
