Notice lost changes of the job table within the bound for cancellations

Cause: the owner follows the job table by one long poll of 5 s. A response that an outage swallows is missed only when the call ends, after up to 5.7 s, while writes are answered again.

The poll now takes 0.9 s, as that of the cell table does; the call after a failed one asks for 50 ms; and a call that is in flight when a write is answered after a failure is replaced, unless it was just sent.

--- a/crates/sched/src/heartbeat.rs
+++ b/crates/sched/src/heartbeat.rs
@@ -146,7 +146,7 @@
     }
 
     /// Logs when a partition of the table service becomes unavailable to this owner
-    /// or available again.
+    /// or available again, and asks for the changes that may have been missed.
     pub(crate) fn update_store_availability(
         &mut self,
         partition: PartitionId,
@@ -160,6 +160,7 @@
             }
             None if self.heartbeats.failing_partitions.remove(&partition) => {
                 cx.log(Notice::StoreBack { partition });
+                self.replace_follow_call(cx.now());
             }
             _ => {}
         }
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -29,8 +29,13 @@
 const PAGE_ROWS: u32 = 500;
 /// Delay before a failed read is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Long-poll time for changes of the job table.
-const FOLLOW_WAIT: Duration = Duration::from_millis(5_000);
+/// Long-poll time for changes of the job table. A call whose response is lost is noticed only
+/// when it ends, and until then this owner starts tasks of jobs that were cancelled.
+const FOLLOW_WAIT: Duration = Duration::from_millis(900);
+/// Long-poll time of the call after one that failed.
+const FOLLOW_RETRY_WAIT: Duration = Duration::from_millis(50);
+/// Age of a call for changes from which it is replaced when the table service is back.
+const FOLLOW_REPLACE_AGE: Duration = Duration::from_millis(100);
 /// Delay between two such calls, so that one returns several submissions.
 const FOLLOW_GAP: Duration = Duration::from_millis(12);
 
@@ -89,8 +94,11 @@
     scans: Vec<TableScan>,
     /// Layout of the cell; `None` until it is read.
     layout: Option<Layout>,
-    follow_call: Option<CallId>,
+    /// Call for changes of the job table in flight, with the time of sending.
+    follow_call: Option<(CallId, Duration)>,
     follow_at: Option<Duration>,
+    /// The last such call failed.
+    follow_failed: bool,
     /// Version up to which changes of the job table were applied.
     followed_version: u64,
     /// When no order of an earlier owner can be in effect any more; `None` until the
@@ -600,16 +608,31 @@
             return;
         }
         let call = cx.next_call_id();
-        self.recovery.follow_call = Some(call);
+        self.recovery.follow_call = Some((call, cx.now()));
         self.recovery.follow_at = None;
+        let wait = match self.recovery.follow_failed {
+            true => FOLLOW_RETRY_WAIT,
+            false => FOLLOW_WAIT,
+        };
         cx.out.push(Effect::Follow {
             call,
             table: Table::Job,
             after: self.recovery.followed_version,
-            wait: FOLLOW_WAIT,
+            wait,
         });
     }
 
+    /// Asks again for changes of the job table, as the table service answers again after a
+    /// failure: the response to the call in flight may be lost.
+    pub(crate) fn replace_follow_call(&mut self, now: Duration) {
+        let in_flight = self.recovery.follow_call;
+        if in_flight.is_some_and(|(_, sent_at)| now >= sent_at + FOLLOW_REPLACE_AGE) {
+            self.recovery.follow_call = None;
+            self.recovery.follow_at = Some(now);
+            self.recovery.follow_failed = true;
+        }
+    }
+
     /// Handles changes of the job table. Returns false when the call did not ask
     /// for them.
     pub(crate) fn jobs_followed(
@@ -618,9 +641,11 @@
         result: &Result<ChangeFeed, StoreError>,
         cx: &mut Cx<'_>,
     ) -> bool {
-        if self.recovery.follow_call.take_if(|f| *f == call).is_none() {
+        let in_flight = &mut self.recovery.follow_call;
+        if in_flight.take_if(|(sent, _)| *sent == call).is_none() {
             return false;
         }
+        self.recovery.follow_failed = result.is_err();
         match result {
             Ok(feed) => {
                 for row in &feed.rows {
--- a/crates/sched/tests/owner/harness.rs
+++ b/crates/sched/tests/owner/harness.rs
@@ -19,6 +19,9 @@
 /// Time after which a write counts as lost whose connection was reset.
 pub(crate) const LOST_WRITE_TIME: Duration = Duration::from_millis(5);
 
+/// Time after the end of its wait at which a read without a response ends.
+pub(crate) const READ_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Clock of the first incarnation of a backend server when the others begin.
 pub(crate) const CLOCK_AT_RESTART_MS: u64 = 100_000;
 
@@ -158,6 +161,12 @@
     pub(crate) accepted: Vec<Row>,
     /// Call that waits for changes of the job table.
     pub(crate) job_follow_call: Option<CallId>,
+    /// When that call ends without a response if the table service is silent.
+    pub(crate) job_follow_deadline: Duration,
+    /// Number of such calls from now on whose responses are lost.
+    pub(crate) job_follows_lost: u32,
+    /// Such calls whose response is lost, with the time at which they end.
+    pub(crate) silent_follows: Vec<(CallId, Duration)>,
     /// Call that waits for changes of the cell table.
     pub(crate) cell_follow_call: Option<CallId>,
     /// When the table service answers scans of the cell.
@@ -288,6 +297,9 @@
             notices: Vec::new(),
             accepted: Vec::new(),
             job_follow_call: None,
+            job_follow_deadline: Duration::ZERO,
+            job_follows_lost: 0,
+            silent_follows: Vec::new(),
             cell_follow_call: None,
             cell_scans: CellScans::AtOnce,
             cell_scan_call: None,
@@ -372,6 +384,7 @@
                 self.answer_renewal(call, &server, self.finished.clone());
             }
             self.answer_job_follow();
+            self.end_silent_follows();
             self.answer_cell_follow();
             self.answer_cell_scan();
         }
@@ -401,6 +414,23 @@
         }
     }
 
+    /// Loses the responses to the call that waits for changes of the job table, and to the
+    /// next ones, `count` in all.
+    pub(crate) fn lose_job_follows(&mut self, count: u32) {
+        let call = self.job_follow_call.take().expect("a call that waits");
+        self.silent_follows.push((call, self.job_follow_deadline));
+        self.job_follows_lost = count - 1;
+    }
+
+    fn end_silent_follows(&mut self) {
+        let now = self.now;
+        let ended = self.silent_follows.extract_if(.., |(_, at)| *at <= now);
+        for (call, _) in ended.collect::<Vec<_>>() {
+            let result = Err(StoreError::Unavailable);
+            self.deliver(Event::ChangesReceived { call, result });
+        }
+    }
+
     pub(crate) fn answer_job_follow(&mut self) {
         if let Some(call) = self.job_follow_call.take_if(|_| !self.accepted.is_empty()) {
             let result = Ok(ChangeFeed {
@@ -531,8 +561,22 @@
                 self.deliver(Event::StoreAnswered { call, result });
             }
             // Both are answered on the next tick.
-            Effect::Follow { call, table, .. } => match table {
-                Table::Job => self.job_follow_call = Some(call),
+            Effect::Follow {
+                call, table, wait, ..
+            } => match table {
+                Table::Job => {
+                    let deadline = self.now + wait + READ_TIMEOUT;
+                    match self.job_follows_lost.checked_sub(1) {
+                        Some(left) => {
+                            self.job_follows_lost = left;
+                            self.silent_follows.push((call, deadline));
+                        }
+                        None => {
+                            self.job_follow_call = Some(call);
+                            self.job_follow_deadline = deadline;
+                        }
+                    }
+                }
                 // An earlier call may be handled after a later one replaced it.
                 _ => self.cell_follow_call = self.cell_follow_call.max(Some(call)),
             },
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -3,6 +3,7 @@
 
 mod acceptance;
 mod capacity;
+mod changes;
 mod gangs;
 mod harness;
 mod health;
