Count leases that were granted for a former incarnation after a takeover

Cause: a server that starts again executes orders that were sent to its former incarnation. They name the end of the lease on that one's clock, so the server grants its longest lease, 10 s there, for all that runs on it later. The successor counted with 5 s from its first answer. Within a term, a start that the next incarnation answered had the same gap until the lists were read.

Each incarnation now has the end of such leases: none, known once the incarnation has answered an owner, or unknown. It is stored in the roster, behind the entries, so that the build before can read the row and its rows are read.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -56,6 +56,46 @@
     }
 }
 
+/// Leases that an incarnation may have granted for orders to earlier incarnations of its id.
+/// Their ends are times on the clock of the earlier one, so that only the longest lease that
+/// backend servers grant bounds them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StaleLeases {
+    /// There are none: no order was sent to an earlier incarnation.
+    Ended,
+    /// The incarnation has answered an owner, whose fencing token such orders don't reach.
+    /// All of them end by this local time.
+    EndBy(Duration),
+    /// It has not answered, and may execute such orders until this local time.
+    Possible(Duration),
+}
+
+impl StaleLeases {
+    /// Those of an incarnation of which no answer is known at `now`. An earlier owner that
+    /// does not know of it may send orders to its predecessor until its term ends.
+    pub(crate) fn possible(timing: &Timing, now: Duration) -> Self {
+        Self::Possible(now + timing.ownership_validity + timing.max_order_delay)
+    }
+
+    /// Notes that the incarnation has answered. Returns true if that sets the end.
+    pub(crate) fn answered(&mut self, timing: &Timing, now: Duration) -> bool {
+        let possible = matches!(self, Self::Possible(_));
+        if possible {
+            *self = Self::EndBy(now + timing.longest_lease());
+        }
+        possible
+    }
+
+    /// Local time by which all of them have ended.
+    pub(crate) fn end(self, timing: &Timing) -> Duration {
+        match self {
+            Self::Ended => Duration::ZERO,
+            Self::EndBy(at) => at,
+            Self::Possible(until) => until + timing.longest_lease(),
+        }
+    }
+}
+
 /// A lease renewal in flight.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RenewalCall {
@@ -100,18 +140,20 @@
     /// A renewal that acknowledges ends was sent with the current token and may still
     /// be executed.
     acknowledgement_pending: bool,
-    /// True when another incarnation has answered, by its clock, until the lists say which:
+    /// When another incarnation has answered last, by its clock, until the lists say which:
     /// ends that it lists have not been handled, so none are acknowledged.
-    pub(crate) incarnation_doubted: bool,
+    pub(crate) doubted_at: Option<Duration>,
     /// True when it may run tasks of an earlier owner that are not yet known.
     pub(crate) inherited: bool,
     /// Last reading of its clock in ms, and the local time of its arrival.
     clock: Option<(u64, Duration)>,
     /// Latest end of a lease sent to it, on its clock in ms.
     max_lease_end: u64,
-    /// Local time by which all leases there have certainly expired unless they
-    /// are renewed.
+    /// Local time by which all leases that this owner granted there have certainly expired
+    /// unless they are renewed.
     pub(crate) leases_expire_at: Duration,
+    /// Leases that were granted there for orders to earlier incarnations of its id.
+    pub(crate) stale_leases: StaleLeases,
     /// When the last lease renewal that this incarnation answered was sent.
     pub(crate) verified_at: Duration,
     /// When its last response with a clock reading arrived.
@@ -166,11 +208,12 @@
             state: ServerState::Discovered,
             token_number: 0,
             acknowledgement_pending: false,
-            incarnation_doubted: false,
+            doubted_at: None,
             inherited: false,
             clock: None,
             max_lease_end: 0,
             leases_expire_at: Duration::ZERO,
+            stale_leases: StaleLeases::Ended,
             verified_at: Duration::ZERO,
             last_answer_at: Duration::ZERO,
             unresponsive: false,
@@ -264,9 +307,12 @@
     }
 
     /// True when the response to an order that was sent at `sent_at` shows an earlier clock
-    /// than one that had arrived before, so that another incarnation has sent it.
-    pub(crate) fn is_clock_reset(&self, clock: u64, sent_at: Duration) -> bool {
-        let earlier = |(known, at): (u64, Duration)| at <= sent_at && clock < known;
+    /// than this incarnation had then, so that another one has sent it.
+    pub(crate) fn is_clock_reset(&self, clock: u64, sent_at: Duration, timing: &Timing) -> bool {
+        let earlier = |(known, at): (u64, Duration)| {
+            let since_sent = at.saturating_sub(sent_at).div_f64(timing.min_clock_rate);
+            clock + (since_sent.as_millis() as u64) < known
+        };
         self.clock.is_some_and(earlier)
     }
 
@@ -280,6 +326,17 @@
         }
     }
 
+    /// Local time by which all leases there have certainly expired that this owner granted, or
+    /// that orders to earlier incarnations were granted, unless they are renewed.
+    pub(crate) fn granted_until(&self, timing: &Timing) -> Duration {
+        let known = self.leases_expire_at.max(self.stale_leases.end(timing));
+        match self.doubted_at {
+            // The next incarnation may have executed orders to this one.
+            Some(at) => known.max(StaleLeases::possible(timing, at).end(timing)),
+            None => known,
+        }
+    }
+
     /// End of a lease that begins now, on the backend server's clock; `None` while
     /// that clock is unknown.
     pub(crate) fn new_lease_end(&self, timing: &Timing, now: Duration) -> Option<u64> {
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -19,6 +19,7 @@
 use crate::notice::{Notice, ms};
 use crate::owner::{Cx, Owner, SentOrder};
 use crate::partition::CELL_PARTITION;
+use crate::settings::Timing;
 
 /// Maximum number of ended runs in one list. A list of that length may be
 /// incomplete.
@@ -118,7 +119,7 @@
         };
         // An unresponsive server may come back as another incarnation, whose ended
         // runs have not been handled, so none are acknowledged.
-        let acknowledged = match server.unresponsive || server.incarnation_doubted {
+        let acknowledged = match server.unresponsive || server.doubted_at.is_some() {
             true => 0,
             false => server.acknowledged_end,
         };
@@ -204,7 +205,7 @@
     }
 
     fn mark_unresponsive(&mut self, ix: ServerIx, fault: OrderError, cx: &mut Cx<'_>) {
-        let expire_at = self.leases_expire_at(ix);
+        let expire_at = self.leases_expire_at(ix, &cx.settings.timing);
         let server = self.fleet.get_mut(ix);
         if !server.unresponsive {
             server.unresponsive = true;
@@ -243,7 +244,7 @@
         server.verified_at = sent_at;
         server.observe_clock(lists.clock, now);
         server.unresponsive = false;
-        server.incarnation_doubted = false;
+        server.doubted_at = None;
         server.silent_since = None;
         let first = server.state == ServerState::InRoster;
         server.state = ServerState::Held;
@@ -263,6 +264,9 @@
         // Its runs may hold a full lease from an earlier owner.
         let inherited_lease = timing.lease.div_f64(timing.min_clock_rate);
         server.leases_expire_at = server.leases_expire_at.max(cx.now() + inherited_lease);
+        if server.stale_leases.answered(timing, cx.now()) {
+            self.roster.mark_changed(&server.listing.id);
+        }
         let notice = Notice::ServerHeld {
             server: server.listing.id.clone(),
             incarnation: server.listing.incarnation,
@@ -484,14 +488,12 @@
 
     /// When all leases on a backend server have certainly expired, unless this owner
     /// renews them; `None` while an earlier owner may still do so.
-    fn leases_expire_at(&self, ix: ServerIx) -> Option<Duration> {
+    fn leases_expire_at(&self, ix: ServerIx, timing: &Timing) -> Option<Duration> {
         let server = self.fleet.get(ix);
+        let known = server.granted_until(timing);
         match server.inherited {
-            true => {
-                let prior = self.recovery.prior_orders_until()?;
-                Some(prior.max(server.leases_expire_at))
-            }
-            false => Some(server.leases_expire_at),
+            true => Some(self.recovery.prior_orders_until()?.max(known)),
+            false => Some(known),
         }
     }
 
@@ -520,7 +522,8 @@
             let server = self.fleet.get(ix);
             // Without a write confirmed since, a successor may have renewed them.
             let certain = |at| now >= at && cx.term.confirmed_at >= at;
-            let expired = self.leases_expire_at(ix).is_some_and(certain);
+            let expire_at = self.leases_expire_at(ix, &cx.settings.timing);
+            let expired = expire_at.is_some_and(certain);
             let unresponsive = now >= server.last_answer_at + cx.settings.timing.server_timeout;
             let unused = server.runs.is_empty() && !server.inherited;
             let lapsed = match expired {
--- a/crates/sched/src/losses.rs
+++ b/crates/sched/src/losses.rs
@@ -251,7 +251,7 @@
         self.is_suspect(run.task)
             && self.is_on_probation(run, ix, silent_at)
             && placed.confirmed
-            && !server.incarnation_doubted
+            && server.doubted_at.is_none()
             && others.all(started_long_before)
     }
 
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -206,8 +206,8 @@
     fn start_confirmed(&mut self, run: RunRef, server: ServerIx, clock: u64, cx: &mut Cx<'_>) {
         let sent_at = self.ledger.runs.get(&run).map(|placed| placed.ordered_at);
         let entry = self.fleet.get_mut(server);
-        if sent_at.is_some_and(|at| entry.is_clock_reset(clock, at)) {
-            entry.incarnation_doubted = true;
+        if sent_at.is_some_and(|at| entry.is_clock_reset(clock, at, &cx.settings.timing)) {
+            entry.doubted_at = Some(cx.now());
             entry.request_lists(cx.now());
         }
         entry.observe_clock(clock, cx.now());
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -16,7 +16,7 @@
 use crate::divide::Division;
 use crate::event::{CallId, Effect, Listing, Order, OrderError, OrderResponse, Rejection, Time};
 use crate::fence::Fences;
-use crate::fleet::{Fleet, ServerIx, ServerState};
+use crate::fleet::{Fleet, ServerIx, ServerState, StaleLeases};
 use crate::heartbeat::Heartbeats;
 use crate::ledger::{JobIx, Ledger, RunRef, RunState};
 use crate::losses::open::OpenLosses;
@@ -259,7 +259,13 @@
             }
             None => {
                 self.roster.mark_changed(&listing.id);
-                self.fleet.add(listing, true);
+                let ix = self.fleet.add(listing, true);
+                // An earlier owner may have called an earlier incarnation.
+                let timing = &cx.settings.timing;
+                let has_predecessor = cx.term.epoch() > FIRST_EPOCH;
+                if has_predecessor && !self.recovery.has_lasted(timing.max_order_delay, cx.now()) {
+                    self.fleet.get_mut(ix).stale_leases = StaleLeases::possible(timing, cx.now());
+                }
             }
         }
     }
@@ -301,11 +307,9 @@
             self.mark_dirty(run.task.step.job);
         }
         self.fleet.get_mut(new).token_number = self.fleet.get(old).token_number + 1;
-        let timing = &cx.settings.timing;
-        let max_lease = timing.max_lease.div_f64(timing.min_clock_rate);
         let may_have_prior_orders = self.recovery.may_have_prior_orders(cx.now());
         let server = self.fleet.get_mut(new);
-        server.leases_expire_at = cx.now() + max_lease;
+        server.stale_leases = StaleLeases::possible(&cx.settings.timing, cx.now());
         // An earlier owner may reach it before this owner's fencing token does.
         server.inherited = may_have_prior_orders;
         self.incarnation_ended(old, "a newer incarnation was seen", cx);
@@ -537,6 +541,8 @@
     }
 }
 
+/// Epoch of the first owner of a cell.
+const FIRST_EPOCH: Epoch = 1;
 /// Minimum age of a term before it is handed to a VM with a larger CPU share;
 /// longer than a takeover plus the time in which helpers make their first offers.
 const MIN_TERM_BEFORE_YIELD: Duration = Duration::from_secs(3);
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -18,7 +18,7 @@
 
 use crate::commit::{put, remove};
 use crate::event::{CallId, Effect, Listing, StoreError, StoreResponse, live_value};
-use crate::fleet::{ServerIx, ServerState};
+use crate::fleet::{ServerIx, ServerState, StaleLeases};
 use crate::heartbeat::owner_condition;
 use crate::notice::Notice;
 use crate::owner::{Cx, Owner};
@@ -60,6 +60,32 @@
     crc32fast::hash(id.as_bytes()) % ROSTER_CHUNKS
 }
 
+/// End of stale leases on the table service's clock, as the roster stores it.
+fn stored_end(leases: StaleLeases, cx: &Cx<'_>) -> Option<Duration> {
+    let clock = cx.term.store_clock(cx.now());
+    match leases {
+        StaleLeases::Ended => Some(Duration::ZERO),
+        // The reading of the clock is old by the time that the service's response took.
+        StaleLeases::EndBy(at) => {
+            Some(clock + at.saturating_sub(cx.now()) + cx.settings.timing.store_timeout)
+        }
+        StaleLeases::Possible(_) => None,
+    }
+}
+
+/// Stale leases on a backend server whose entry in the roster states their end.
+fn loaded_end(end: Option<Duration>, cx: &Cx<'_>) -> StaleLeases {
+    let timing = &cx.settings.timing;
+    match end {
+        Some(end) if end.is_zero() => StaleLeases::Ended,
+        Some(end) => {
+            let left = end.saturating_sub(cx.term.store_clock(cx.now()));
+            StaleLeases::EndBy(cx.now() + left.div_f64(timing.min_clock_rate))
+        }
+        None => StaleLeases::possible(timing, cx.now()),
+    }
+}
+
 impl Roster {
     /// Notes that a backend server was added, replaced or removed.
     pub(crate) fn mark_changed(&mut self, id: &model::Name) {
@@ -100,12 +126,13 @@
                     incarnation: listing.incarnation,
                     address: listing.address.clone(),
                     capacity,
+                    stale_leases_end: stored_end(server.stale_leases, cx),
                 });
             }
         }
         let write = |chunk: &ChunkId| {
             let entries = entries.remove(chunk).unwrap_or_default();
-            put(rows::roster_key(*chunk), rows::encode(&entries))
+            put(rows::roster_key(*chunk), rows::encode_roster(&entries))
         };
         let mut writes: Vec<model::Write> = chunks.iter().map(write).collect();
         let mut conditions = vec![owner_condition(cx)];
@@ -186,7 +213,7 @@
             let Some(bytes) = live_value(row) else {
                 continue;
             };
-            match rows::decode::<Vec<RosterEntry>>(bytes) {
+            match rows::decode_roster(bytes) {
                 Some(entries) => entries
                     .into_iter()
                     .for_each(|e| self.load_roster_entry(e, cx)),
@@ -219,6 +246,7 @@
                 let server = self.fleet.get_mut(ix);
                 server.inherited = true;
                 server.peak_capacity = server.peak_capacity.max(entry.capacity);
+                server.stale_leases = StaleLeases::possible(&cx.settings.timing, cx.now());
                 self.roster.mark_changed(&entry.id);
                 return;
             }
@@ -234,6 +262,7 @@
         }
         server.unlisted_at = unlisted.then_some(now);
         server.inherited = true;
+        server.stale_leases = loaded_end(entry.stale_leases_end, cx);
         server.in_inherited_roster = true;
         server.in_stored_roster = true;
         server.stored_capacity = entry.capacity;
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -89,6 +89,30 @@
     /// The largest capacity that it is known to have had. While its runs are unknown, it
     /// counts in full against every team's limit.
     pub(crate) capacity: Resources,
+    /// When the last lease ends there that an order to an earlier incarnation of the id may
+    /// have granted, on the table service's clock; `None` until the incarnation has answered
+    /// an owner, since it may execute such orders until then. The times follow the entries
+    /// in the row and are absent in rows of earlier builds, which can read this build's.
+    #[serde(skip)]
+    pub(crate) stale_leases_end: Option<Duration>,
+}
+
+/// Encodes a row of the roster.
+pub(crate) fn encode_roster(entries: &[RosterEntry]) -> Bytes {
+    let ends: Vec<Option<Duration>> = entries.iter().map(|e| e.stale_leases_end).collect();
+    let mut row = encode(&entries).to_vec();
+    row.extend_from_slice(&encode(&ends));
+    Bytes::from(row)
+}
+
+/// Decodes a row of the roster; `None` when it is malformed.
+pub(crate) fn decode_roster(bytes: &[u8]) -> Option<Vec<RosterEntry>> {
+    let (mut entries, rest) = postcard::take_from_bytes::<Vec<RosterEntry>>(bytes).ok()?;
+    let (ends, _): (Vec<Option<Duration>>, _) = take_if_present(rest)?;
+    for (entry, end) in entries.iter_mut().zip(ends) {
+        entry.stale_leases_end = end;
+    }
+    Some(entries)
 }
 
 /// A submitted job. The row exists until the job is in a terminal stage and none of
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -42,6 +42,9 @@
     pub lease: Duration,
     /// Longest lease that a backend server grants, whatever the request says.
     pub max_lease: Duration,
+    /// Longest time after which an order without a response is still executed, by whichever
+    /// incarnation has the id of the backend server then.
+    pub max_order_delay: Duration,
     /// Lease on a draining backend server; short, so that its shutdown is
     /// detected soon.
     pub draining_lease: Duration,
@@ -93,6 +96,7 @@
             new_server_max_write_age: ms(600),
             lease: ms(5_000),
             max_lease: ms(10_000),
+            max_order_delay: ms(12_000),
             draining_lease: ms(1_500),
             renewal_wait: ms(1_800),
             renewal_gap: ms(20),
@@ -110,6 +114,14 @@
     }
 }
 
+impl Timing {
+    /// Local time after which a lease has certainly ended that a backend server grants now
+    /// for an order with a later end than it allows.
+    pub(crate) fn longest_lease(&self) -> Duration {
+        self.max_lease.div_f64(self.min_clock_rate)
+    }
+}
+
 /// Settings that a node is created with.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -7,6 +7,7 @@
 mod gangs;
 mod harness;
 mod health;
+mod incarnations;
 mod losses;
 mod room;
 mod roster;
--- a/crates/sched/tests/owner/roster.rs
+++ b/crates/sched/tests/owner/roster.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use model::Name;
-use sched::Event;
+use sched::{Event, Notice};
 
-use crate::harness::{Harness, named_listing};
+use crate::harness::{Harness, named_listing, owner_with_run_on_last_of_three, successor_of};
 
 /// Number of rows over which the roster is divided.
 const ROSTER_ROWS: u32 = 16;
@@ -58,3 +58,32 @@
 
     assert!(harness.roster_lists(&first) && harness.roster_lists(&second));
 }
+
+/// Length of a time that follows the entries of a row, for servers without such leases.
+const TIME_LEN: usize = 3;
+
+/// A roster that a build wrote which did not store the ends of leases granted for former
+/// incarnations is read.
+#[test]
+fn a_roster_without_the_times_of_leases_is_read() {
+    let owner = owner_with_run_on_last_of_three();
+    let mut successor = successor_of(&owner);
+    successor.listings.clear();
+    for row in &mut successor.roster_rows {
+        let entries = usize::from(row.cell.value[0]);
+        let shorter = row.cell.value.len() - (1 + entries * TIME_LEN);
+        row.cell.value.truncate(shorter);
+    }
+    successor.renews_by_tick = true;
+    successor.now = owner.now + Duration::from_secs(4);
+
+    successor.advance(Duration::from_secs(1));
+
+    let recovered = |notice: &Notice| match notice {
+        Notice::Recovered { servers, .. } => Some(*servers),
+        _ => None,
+    };
+    let malformed = |notice: &Notice| matches!(notice, Notice::RowMalformed { .. });
+    assert_eq!(successor.notices.iter().find_map(recovered), Some(3));
+    assert!(!successor.notices.iter().any(malformed));
+}
