Let a suspect wait for a server outside the rack where it was lost

Callers saw a job reported as failed whose tasks crash nothing: one rack lost power again and again, and a task of the job was started there each time.

Cause: a suspect starts on a backend server that has taken no start for a while. After a power loss these are the ones that have just restarted, and they were preferred to servers that the task need not avoid.

Servers to avoid are now considered only if the others have no room; the suspect waits until one of the others has settled.

Evidence: a_suspect_waits_for_a_server_outside_the_rack_where_it_was_lost fails before the fix and passes now.

--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -378,6 +378,19 @@
             each.fits(&candidate.free).then_some((*ix, candidate))
         });
         let all: Vec<(ServerIx, Candidate)> = with_room.collect();
+        // Servers that it should avoid may be those that have just restarted, and therefore
+        // the only ones that have settled.
+        let is_sought = |ix: ServerIx| {
+            let mut tasks = waiting.iter().map(|index| step.task(*index));
+            tasks.all(|task| !self.is_avoided(task, ix))
+        };
+        let sought: Vec<_> = all
+            .iter()
+            .filter(|(ix, _)| is_sought(*ix))
+            .copied()
+            .collect();
+        let suffices = self.plan_step(step, spec, waiting, &sought).len() == waiting.len();
+        let all = if suffices { sought } else { all };
         let settled = all.iter().filter(|(ix, _)| self.is_settled(*ix, cx.now()));
         let settled: Vec<(ServerIx, Candidate)> = settled.copied().collect();
         let plan = self.plan_step(step, spec, waiting, &settled);
--- a/crates/sched/tests/owner/losses.rs
+++ b/crates/sched/tests/owner/losses.rs
@@ -348,3 +348,46 @@
         assert!(was_given_up(&harness), "crash first: {crash_first}");
     }
 }
+
+/// Guards against giving up a sound task because one rack loses power again and again: the
+/// only backend servers that have settled there are those that have just restarted, and a
+/// server of another rack has just taken another start.
+#[test]
+fn a_suspect_waits_for_a_server_outside_the_rack_where_it_was_lost() {
+    let in_rack = |id: &str, rack: &str| Listing {
+        rack: rack.into(),
+        labels: vec![rack.into()],
+        ..named_listing(id)
+    };
+    let mut harness = owner_of(3);
+    for (id, rack) in [("s0", "near"), ("s1", "near"), ("s2", "far")] {
+        harness.deliver(Event::ServerListed(in_rack(id, rack)));
+    }
+    let mut near = graph();
+    near.steps[0].label = Some("near".into());
+    harness.submit_to("/plain/0000000000000002", near);
+    harness.advance(Duration::from_secs(1));
+    harness.unreachable.insert("s2".into());
+    harness.submit_plain(JOB);
+    harness.advance(Duration::from_millis(100));
+    harness.unreachable.clear();
+    harness.advance(Duration::from_secs(1));
+    let (lost_on, _) = harness.placements.last().cloned().expect("a start");
+    assert_ne!(lost_on, "s2");
+
+    let mut far = graph();
+    far.steps[0].label = Some("far".into());
+    harness.submit_to("/plain/0000000000000003", far);
+    harness.advance(Duration::from_millis(60));
+    harness.restart(&lost_on, 2);
+    harness.deliver(Event::ServerListed(Listing {
+        incarnation: 2,
+        ..in_rack(&lost_on, "near")
+    }));
+    harness.advance(Duration::from_secs(2));
+
+    let of_job = |(_, run): &&(Name, RunKey)| run.task.job == JOB;
+    let starts: Vec<_> = harness.placements.iter().filter(of_job).collect();
+    let servers: Vec<&Name> = starts.into_iter().map(|(server, _)| server).collect();
+    assert_eq!(servers, [&lost_on, &Name::from("s2")]);
+}
