Guard the heartbeat row by its version

Cause: heartbeats were conditional on the owner row alone, which does not change within a term, so one that was applied late replaced a newer one, and with it what the newer one said of the records.

A heartbeat is now also conditional on the version of the row. A conflict with the owner row unchanged tells the version and proves that there is no later owner. As late heartbeats no longer show that the owner is alive, the interval is halved while one has failed or has no answer.

Evidence: a_late_heartbeat_does_not_replace_a_newer_one fails before the fix and passes now.

--- a/crates/sched/src/heartbeat.rs
+++ b/crates/sched/src/heartbeat.rs
@@ -1,7 +1,8 @@
 //! The owner's heartbeats, which keep its term valid, and the availability of the
 //! table service that they show.
 //!
-//! Invariant: a heartbeat is conditional on the version of the owner row. Only
+//! Invariant: a heartbeat is conditional on the versions of the owner row and of the
+//! heartbeat row, so that one that is applied late replaces no newer one. Only
 //! heartbeats confirm the term, since writes to other partitions may be applied
 //! after a later owner has claimed.
 
@@ -12,7 +13,7 @@
 use model::{Condition, Row, Transaction};
 
 use crate::commit::put;
-use crate::event::{CallId, Effect, StoreError, StoreResponse};
+use crate::event::{CallId, Effect, StoreError, StoreResponse, live_value};
 use crate::notice::Notice;
 use crate::owner::{Cx, Owner};
 use crate::partition::{CELL_PARTITION, PartitionId};
@@ -29,8 +30,12 @@
     in_flight: HashMap<CallId, (Duration, bool)>,
     /// What the last one that was applied says of the records.
     stored_as_recorded: bool,
+    /// Version of the heartbeat row as last read or written; zero when there is none.
+    row_version: u64,
     count: u64,
     next_at: Duration,
+    /// When the last one was sent.
+    last_at: Duration,
     /// Heartbeats that failed since the last one that was applied.
     failed: u32,
     /// Partitions whose last write failed.
@@ -42,6 +47,22 @@
     pub(crate) fn stored_as_recorded(&self) -> bool {
         self.stored_as_recorded
     }
+
+    /// Interval between heartbeats: half of the usual one while one has failed or has no
+    /// answer, since one that is applied late does not show that the owner is alive.
+    fn interval(&self, cx: &Cx<'_>) -> Duration {
+        let usual = cx.settings.timing.heartbeat_interval;
+        let mut in_flight = self.in_flight.values();
+        match self.failed > 0 || in_flight.any(|(sent_at, _)| cx.now() >= *sent_at + usual / 2) {
+            true => usual / 2,
+            false => usual,
+        }
+    }
+
+    /// Notes a version that the heartbeat row has or had.
+    pub(crate) fn observe_version(&mut self, version: u64) {
+        self.row_version = self.row_version.max(version);
+    }
 }
 
 /// The condition that this VM is the owner, for writes to the cell's partition.
@@ -55,14 +76,19 @@
 impl Owner {
     /// Sends a heartbeat, if one is due.
     pub(crate) fn send_due_heartbeat(&mut self, cx: &mut Cx<'_>) {
-        let interval = cx.settings.timing.heartbeat_interval;
+        let interval = self.heartbeats.interval(cx);
         // The first one replaces the previous owner's last heartbeat, which the
         // recovery has to read. The claim confirms the term for one interval.
         let unread = self.recovery.is_reading_cell();
         let held_back = unread && !self.recovery.has_lasted(interval, cx.now());
-        if cx.now() < self.heartbeats.next_at || held_back {
+        let due_at = self
+            .heartbeats
+            .next_at
+            .min(self.heartbeats.last_at + interval);
+        if cx.now() < due_at || held_back {
             return;
         }
+        self.heartbeats.last_at = cx.now();
         self.heartbeats.next_at = cx.now() + interval;
         self.heartbeats.count += 1;
         // Until the jobs are loaded, the previous owner's counts are repeated.
@@ -84,8 +110,12 @@
         let call = cx.next_call_id();
         let sent = (cx.now(), heartbeat.recorded);
         self.heartbeats.in_flight.insert(call, sent);
+        let current = Condition {
+            key: rows::HEARTBEAT_KEY.into(),
+            version: self.heartbeats.row_version,
+        };
         let transaction = Transaction {
-            conditions: vec![owner_condition(cx)],
+            conditions: vec![owner_condition(cx), current],
             writes: vec![put(rows::HEARTBEAT_KEY.into(), rows::encode(&heartbeat))],
         };
         cx.term.heartbeat = heartbeat;
@@ -108,15 +138,13 @@
             return false;
         };
         match result {
-            Ok(StoreResponse::Applied { clock, .. }) => {
-                cx.term.confirm(sent_at);
+            Ok(StoreResponse::Applied { version, clock }) => {
                 cx.term.observe_store_clock(*clock, cx.now());
-                self.heartbeats.failed = 0;
+                self.heartbeats.observe_version(*version);
                 self.heartbeats.stored_as_recorded = recorded;
-                self.place_due = true;
-                self.update_store_availability(CELL_PARTITION, None, cx);
+                self.heartbeat_confirmed(sent_at, cx);
             }
-            Err(StoreError::Conflict(rows)) => self.verify_ownership(rows, cx),
+            Err(StoreError::Conflict(rows)) => self.heartbeat_conflicted(rows, sent_at, cx),
             Ok(StoreResponse::Rows { .. }) => {}
             Err(error) => {
                 self.heartbeats.failed += 1;
@@ -127,6 +155,36 @@
         true
     }
 
+    fn heartbeat_confirmed(&mut self, sent_at: Duration, cx: &mut Cx<'_>) {
+        cx.term.confirm(sent_at);
+        self.heartbeats.failed = 0;
+        self.place_due = true;
+        self.update_store_availability(CELL_PARTITION, None, cx);
+    }
+
+    /// Handles a heartbeat that was not applied. Unless the owner row has changed, an
+    /// earlier one without an answer was applied instead, and the conflict itself proves
+    /// that there is no later owner.
+    fn heartbeat_conflicted(&mut self, rows: &[Row], sent_at: Duration, cx: &mut Cx<'_>) {
+        self.verify_ownership(rows, cx);
+        if !cx.term.is_owning() {
+            return;
+        }
+        let row = rows.iter().find(|row| row.key == rows::HEARTBEAT_KEY);
+        let version = row.map_or(0, |row| row.cell.version);
+        if version > self.heartbeats.row_version {
+            let stored = row.and_then(live_value);
+            let stored = stored.and_then(|bytes| rows::decode::<Heartbeat>(bytes));
+            self.heartbeats.stored_as_recorded = stored.is_some_and(|stored| stored.recorded);
+            self.heartbeats.row_version = version;
+            let mut others = self.heartbeats.in_flight.values();
+            if others.all(|(other_sent_at, _)| *other_sent_at <= sent_at) {
+                self.heartbeats.next_at = cx.now();
+            }
+        }
+        self.heartbeat_confirmed(sent_at, cx);
+    }
+
     /// Asks for a successor when consecutive heartbeats fail and no write has been
     /// confirmed for the handover time.
     fn maybe_request_successor(&mut self, cx: &mut Cx<'_>) {
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -432,6 +432,8 @@
     /// Loads the time of the previous owner's last heartbeat.
     fn load_last_heartbeat(&mut self, rows: &[Row]) {
         let row = rows.iter().find(|row| row.key == rows::HEARTBEAT_KEY);
+        self.heartbeats
+            .observe_version(row.map_or(0, |row| row.cell.version));
         // A heartbeat that is malformed, or that reports missing records, counts as
         // sent at time zero, so that the records are not trusted.
         self.recovery.last_heartbeat = row.and_then(live_value).map(|bytes| {
--- a/crates/sched/tests/owner/harness.rs
+++ b/crates/sched/tests/owner/harness.rs
@@ -193,10 +193,12 @@
     pub(crate) job_partitions_down: bool,
     /// Whether writes to the job partitions get no answer.
     pub(crate) job_writes_lost: bool,
-    /// Whether writes of the roster get no answer, and are kept in `late_writes`.
-    pub(crate) roster_writes_lost: bool,
+    /// Tables to which writes get no answer, and are kept in `late_writes`.
+    pub(crate) writes_lost_to: &'static [&'static str],
     /// Writes without an answer that may still be applied.
     pub(crate) late_writes: Vec<Transaction>,
+    /// Number of those that were applied.
+    pub(crate) late_applied: u32,
     /// Whether writes of job states wait for an answer.
     pub(crate) holds_states: bool,
     /// Writes of job states that wait, with their call and partition.
@@ -315,8 +317,9 @@
             cell_partition_down: false,
             job_partitions_down: false,
             job_writes_lost: false,
-            roster_writes_lost: false,
+            writes_lost_to: &[],
             late_writes: Vec::new(),
+            late_applied: 0,
             holds_states: false,
             held_states: Vec::new(),
             partition_down: None,
@@ -349,6 +352,8 @@
             unreachable: BTreeSet::new(),
             replaced: BTreeSet::new(),
         };
+        let versions = cell_rows.iter().map(|row| row.cell.version);
+        harness.version = versions.max().unwrap_or(harness.version);
         harness.cell_rows = cell_rows;
         let config = Box::new(config());
         harness.deliver(Event::Config {
@@ -478,7 +483,11 @@
             }
             Effect::Commit {
                 call, transaction, ..
-            } if self.roster_writes_lost && writes_to(&transaction, "roster/") => {
+            } if self
+                .writes_lost_to
+                .iter()
+                .any(|t| writes_to(&transaction, t)) =>
+            {
                 self.late_writes.push(transaction);
                 self.now += LOST_WRITE_TIME;
                 let result = Err(StoreError::Unknown);
@@ -757,14 +766,16 @@
         rows.find(|row| row.key == key)
     }
 
-    /// True when a condition on a row of the roster does not hold.
+    /// True when a condition on a row of the roster, or on that of the heartbeat, does not
+    /// hold.
     fn conflicts(&self, transaction: &Transaction) -> bool {
         let mut conditions = transaction.conditions.iter();
         conditions.any(|condition| {
             let version = self
                 .guarded_row(&condition.key)
                 .map_or(0, |r| r.cell.version);
-            condition.key.starts_with("roster/") && version != condition.version
+            let checked = condition.key.starts_with("roster/") || condition.key == "cell/beat";
+            checked && version != condition.version
         })
     }
 
@@ -772,6 +783,7 @@
     pub(crate) fn apply_late_writes(&mut self) {
         for transaction in std::mem::take(&mut self.late_writes) {
             if !self.conflicts(&transaction) {
+                self.late_applied += 1;
                 self.store_rows(transaction);
             }
         }
--- a/crates/sched/tests/owner/roster.rs
+++ b/crates/sched/tests/owner/roster.rs
@@ -28,9 +28,9 @@
     let mut harness = Harness::new("owner", 0.25, Vec::new());
     harness.renews_by_tick = true;
     harness.advance(Duration::from_secs(1));
-    harness.roster_writes_lost = true;
+    harness.writes_lost_to = &["roster/"];
     harness.deliver(Event::ServerListed(named_listing(&first)));
-    harness.roster_writes_lost = false;
+    harness.writes_lost_to = &[];
     harness.deliver(Event::ServerListed(named_listing(&second)));
     harness.advance(Duration::from_millis(500));
     assert!(!harness.late_writes.is_empty());
@@ -48,9 +48,9 @@
     let mut harness = Harness::new("owner", 0.25, Vec::new());
     harness.renews_by_tick = true;
     harness.advance(Duration::from_secs(1));
-    harness.roster_writes_lost = true;
+    harness.writes_lost_to = &["roster/"];
     harness.deliver(Event::ServerListed(named_listing(&first)));
-    harness.roster_writes_lost = false;
+    harness.writes_lost_to = &[];
     harness.apply_late_writes();
 
     harness.deliver(Event::ServerListed(named_listing(&second)));
--- a/crates/sched/tests/owner/term.rs
+++ b/crates/sched/tests/owner/term.rs
@@ -322,3 +322,49 @@
     assert!(job_commits(&harness) > commits_before);
     assert_eq!(harness.renewal_tokens.len(), orders_before);
 }
+
+/// Counter in the heartbeat row as stored.
+fn stored_count(harness: &Harness) -> u64 {
+    let mut rows = harness.cell_rows.iter();
+    let row = rows.find(|row| row.key == "cell/beat").expect("a row");
+    let (count, _) = postcard::take_from_bytes::<u64>(&row.cell.value).expect("a count");
+    count
+}
+
+/// Guards against counts and statements of a heartbeat that come back after those of a newer
+/// one: a heartbeat that got no answer is applied late.
+#[test]
+fn a_late_heartbeat_does_not_replace_a_newer_one() {
+    let mut harness = Harness::owning(0.25);
+    harness.writes_lost_to = &["cell/beat"];
+    harness.advance(Duration::from_millis(700));
+    harness.writes_lost_to = &[];
+    harness.advance(Duration::from_millis(700));
+    let before = stored_count(&harness);
+
+    harness.apply_late_writes();
+    harness.advance(Duration::from_secs(1));
+
+    assert!(harness.node.is_owner());
+    assert!(stored_count(&harness) > before, "heartbeats go on");
+    assert_eq!(harness.late_applied, 0);
+}
+
+/// Guards against an owner that stops its heartbeats, or gives up, because one of them was
+/// applied and its answer lost.
+#[test]
+fn heartbeats_go_on_after_one_was_applied_without_an_answer() {
+    let mut harness = Harness::owning(0.25);
+    for _ in 0..5 {
+        harness.writes_lost_to = &["cell/beat"];
+        harness.advance(Duration::from_millis(320));
+        harness.writes_lost_to = &[];
+        harness.apply_late_writes();
+        let before = stored_count(&harness);
+        harness.advance(Duration::from_millis(400));
+
+        assert!(stored_count(&harness) > before);
+    }
+    assert!(harness.node.is_owner());
+    assert!(!harness.has_released(), "{:?}", harness.notices);
+}
