Start nothing unrecorded while a late heartbeat could be trusted

Cause: an owner starts without records 3.8 s after its last confirmed write. A successor trusts the records for 3.25 s from the last heartbeat that was applied, which may have been sent much later, without an answer.

Heartbeats no longer state that all is recorded once no write was confirmed for 1.5 s, and starts without records wait for 3.75 s from the last such statement that may be applied. A heartbeat that the table service refused does not count.

Evidence: starts_without_records_wait_until_no_late_heartbeat_can_be_trusted fails before the fix and passes now.

--- a/crates/sched/src/heartbeat.rs
+++ b/crates/sched/src/heartbeat.rs
@@ -30,6 +30,9 @@
     in_flight: HashMap<CallId, (Duration, bool)>,
     /// What the last one that was applied says of the records.
     stored_as_recorded: bool,
+    /// When the last one was sent that states that all runs are recorded and that was, or
+    /// may yet be, applied. Those in flight are not counted.
+    stated_recorded_at: Duration,
     /// Version of the heartbeat row as last read or written; zero when there is none.
     row_version: u64,
     count: u64,
@@ -48,6 +51,14 @@
         self.stored_as_recorded
     }
 
+    /// When the last one was sent that states that all runs are recorded, and that may be
+    /// applied.
+    fn last_statement(&self) -> Duration {
+        let in_flight = self.in_flight.values().filter(|(_, recorded)| *recorded);
+        let in_flight = in_flight.map(|(sent_at, _)| *sent_at);
+        in_flight.fold(self.stated_recorded_at, Duration::max)
+    }
+
     /// Interval between heartbeats: half of the usual one while one has failed or has no
     /// answer, since one that is applied late does not show that the owner is alive.
     fn interval(&self, cx: &Cx<'_>) -> Duration {
@@ -74,6 +85,16 @@
 }
 
 impl Owner {
+    /// True when tasks may be started before their records are written: the table service is
+    /// unavailable, and no successor can trust records that lack them, whichever of the
+    /// heartbeats without an answer is applied.
+    pub(crate) fn may_start_unrecorded(&self, cx: &Cx<'_>) -> bool {
+        let timing = &cx.settings.timing;
+        let trusted_for = timing.record_trust_window + timing.majority_max_age;
+        cx.term.may_start_unrecorded(cx.settings, cx.now())
+            && cx.now() >= self.heartbeats.last_statement() + trusted_for
+    }
+
     /// Sends a heartbeat, if one is due.
     pub(crate) fn send_due_heartbeat(&mut self, cx: &mut Cx<'_>) {
         let interval = self.heartbeats.interval(cx);
@@ -91,6 +112,8 @@
         self.heartbeats.last_at = cx.now();
         self.heartbeats.next_at = cx.now() + interval;
         self.heartbeats.count += 1;
+        // Starts without records follow a while after the last such statement.
+        let states_recorded = cx.now() < cx.term.confirmed_at + cx.settings.timing.owner_timeout;
         // Until the jobs are loaded, the previous owner's counts are repeated.
         let pending = match self.recovery.tables_loaded {
             true => self.pending(),
@@ -100,7 +123,9 @@
             count: self.heartbeats.count,
             clock: cx.term.store_clock(cx.now()),
             // An unknown run of an earlier owner may lack a record too.
-            recorded: self.commits.is_all_recorded() && !self.may_have_unknown_runs(),
+            recorded: states_recorded
+                && self.commits.is_all_recorded()
+                && !self.may_have_unknown_runs(),
             pending,
             max_cpu_share: self
                 .policy_dispatcher
@@ -137,6 +162,11 @@
         let Some((sent_at, recorded)) = self.heartbeats.in_flight.remove(&call) else {
             return false;
         };
+        // The others were certainly not applied.
+        let may_be_applied = matches!(result, Ok(_) | Err(StoreError::Unknown));
+        if recorded && may_be_applied {
+            self.heartbeats.stated_recorded_at = self.heartbeats.stated_recorded_at.max(sent_at);
+        }
         match result {
             Ok(StoreResponse::Applied { version, clock }) => {
                 cx.term.observe_store_clock(*clock, cx.now());
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -59,7 +59,7 @@
         }
         self.report_start(run, server, cx);
         self.mark_dirty(run.task.step.job);
-        if cx.term.may_start_unrecorded(cx.settings, cx.now()) {
+        if self.may_start_unrecorded(cx) {
             self.send_unrecorded_start(run, cx);
         }
     }
@@ -151,7 +151,7 @@
     /// Sends the start orders of runs that were planned before the table service
     /// became unavailable, without waiting for their records.
     pub(crate) fn send_planned_starts(&mut self, cx: &mut Cx<'_>) {
-        if !cx.term.may_start_unrecorded(cx.settings, cx.now()) {
+        if !self.may_start_unrecorded(cx) {
             return;
         }
         let planned = self.ledger.runs.iter();
--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -131,7 +131,7 @@
         }
     }
 
-    /// True when tasks may be started before their records are written, because the
+    /// True when this term permits starts before their records are written, because the
     /// table service is unavailable and no successor can have a majority of the
     /// backend servers.
     pub(crate) fn may_start_unrecorded(&self, settings: &Settings, now: Duration) -> bool {
--- a/crates/sched/tests/owner/term.rs
+++ b/crates/sched/tests/owner/term.rs
@@ -368,3 +368,26 @@
     assert!(harness.node.is_owner());
     assert!(!harness.has_released(), "{:?}", harness.notices);
 }
+
+/// Guards against a task that runs twice after a takeover. The table service is silent, and
+/// applies late a heartbeat of that time which states that all runs are recorded. Tasks start
+/// without records only once no successor can trust it.
+#[test]
+fn starts_without_records_wait_until_no_late_heartbeat_can_be_trusted() {
+    let mut harness = Harness::owning(0.25);
+    harness.starts_lost = true;
+    harness.stops_lost = true;
+    harness.renews_by_tick = true;
+    harness.submit("0000000000000001");
+    harness.advance(Duration::from_millis(100));
+    harness.writes_lost_to = &["cell/", "state/"];
+    harness.advance(Duration::from_millis(3_900));
+    harness.answer_policy(vec![("server".into(), "ticket".into())]);
+
+    harness.advance(Duration::from_millis(100));
+    let while_trusted = harness.starts.len();
+    harness.advance(Duration::from_millis(1_500));
+
+    assert_eq!(while_trusted, 0);
+    assert_eq!(harness.starts.len(), 1, "{:?}", harness.notices);
+}
