Count the end of an earlier term for servers that are new to the roster

A backend server that a successor finds in the registry alone counts as one that may execute orders to a former incarnation for 12 s from the beginning of the term. The former owner may send such orders until its term ends, so 3 s more count now, as for incarnations that are replaced.

Comments and two names are clearer.

--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -63,8 +63,8 @@
 pub(crate) enum StaleLeases {
     /// There are none: no order was sent to an earlier incarnation.
     Ended,
-    /// The incarnation has answered an owner, whose fencing token such orders don't reach.
-    /// All of them end by this local time.
+    /// The incarnation has answered an owner, whose fencing token keeps such orders out. All
+    /// of them end by this local time.
     EndBy(Duration),
     /// It has not answered, and may execute such orders until this local time.
     Possible(Duration),
@@ -149,10 +149,10 @@
     clock: Option<(u64, Duration)>,
     /// Latest end of a lease sent to it, on its clock in ms.
     max_lease_end: u64,
-    /// Local time by which all leases that this owner granted there have certainly expired
+    /// Local time by which all leases that this owner ordered there have certainly expired
     /// unless they are renewed.
     pub(crate) leases_expire_at: Duration,
-    /// Leases that were granted there for orders to earlier incarnations of its id.
+    /// Leases that it may have granted for orders to earlier incarnations of its id.
     pub(crate) stale_leases: StaleLeases,
     /// When the last lease renewal that this incarnation answered was sent.
     pub(crate) verified_at: Duration,
@@ -326,8 +326,8 @@
         }
     }
 
-    /// Local time by which all leases there have certainly expired that this owner granted, or
-    /// that orders to earlier incarnations were granted, unless they are renewed.
+    /// Local time by which all leases there have certainly expired unless they are renewed:
+    /// those that this owner ordered, and those for orders to earlier incarnations.
     pub(crate) fn granted_until(&self, timing: &Timing) -> Duration {
         let known = self.leases_expire_at.max(self.stale_leases.end(timing));
         match self.doubted_at {
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -260,10 +260,11 @@
             None => {
                 self.roster.mark_changed(&listing.id);
                 let ix = self.fleet.add(listing, true);
-                // An earlier owner may have called an earlier incarnation.
+                // An earlier owner may have called an earlier incarnation, until its term ended.
                 let timing = &cx.settings.timing;
+                let order_age = timing.ownership_validity + timing.max_order_delay;
                 let has_predecessor = cx.term.epoch() > FIRST_EPOCH;
-                if has_predecessor && !self.recovery.has_lasted(timing.max_order_delay, cx.now()) {
+                if has_predecessor && !self.recovery.has_lasted(order_age, cx.now()) {
                     self.fleet.get_mut(ix).stale_leases = StaleLeases::possible(timing, cx.now());
                 }
             }
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -61,7 +61,7 @@
 }
 
 /// End of stale leases on the table service's clock, as the roster stores it.
-fn stored_end(leases: StaleLeases, cx: &Cx<'_>) -> Option<Duration> {
+fn encode_stale_leases(leases: StaleLeases, cx: &Cx<'_>) -> Option<Duration> {
     let clock = cx.term.store_clock(cx.now());
     match leases {
         StaleLeases::Ended => Some(Duration::ZERO),
@@ -74,7 +74,7 @@
 }
 
 /// Stale leases on a backend server whose entry in the roster states their end.
-fn loaded_end(end: Option<Duration>, cx: &Cx<'_>) -> StaleLeases {
+fn decode_stale_leases(end: Option<Duration>, cx: &Cx<'_>) -> StaleLeases {
     let timing = &cx.settings.timing;
     match end {
         Some(end) if end.is_zero() => StaleLeases::Ended,
@@ -126,7 +126,7 @@
                     incarnation: listing.incarnation,
                     address: listing.address.clone(),
                     capacity,
-                    stale_leases_end: stored_end(server.stale_leases, cx),
+                    stale_leases_end: encode_stale_leases(server.stale_leases, cx),
                 });
             }
         }
@@ -262,7 +262,7 @@
         }
         server.unlisted_at = unlisted.then_some(now);
         server.inherited = true;
-        server.stale_leases = loaded_end(entry.stale_leases_end, cx);
+        server.stale_leases = decode_stale_leases(entry.stale_leases_end, cx);
         server.in_inherited_roster = true;
         server.in_stored_roster = true;
         server.stored_capacity = entry.capacity;
