List what remains of orders to former incarnations, clearer comments

A start without an answer that is executed 7 to 12 s after it was sent may still run beside another run, and a successor takes recorded runs for received.

Two comments say more plainly what they mean. No change of behaviour.

--- a/crates/sched/src/heartbeat.rs
+++ b/crates/sched/src/heartbeat.rs
@@ -162,7 +162,7 @@
         let Some((sent_at, recorded)) = self.heartbeats.in_flight.remove(&call) else {
             return false;
         };
-        // The others were certainly not applied.
+        // One that was refused, or whose conditions failed, was certainly not applied.
         let may_be_applied = matches!(result, Ok(_) | Err(StoreError::Unknown));
         if recorded && may_be_applied {
             self.heartbeats.stated_recorded_at = self.heartbeats.stated_recorded_at.max(sent_at);
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -378,8 +378,8 @@
             each.fits(&candidate.free).then_some((*ix, candidate))
         });
         let all: Vec<(ServerIx, Candidate)> = with_room.collect();
-        // Servers that it should avoid may be those that have just restarted, and therefore
-        // the only ones that have settled.
+        // The servers to avoid may have just restarted, and be the only ones that have
+        // settled, so it waits for the others if they have room.
         let is_sought = |ix: ServerIx| {
             let mut tasks = waiting.iter().map(|index| step.task(*index));
             tasks.all(|task| !self.is_avoided(task, ix))
