Start nothing in data centres that the operator evacuates

Change: every VM reads the requests with the configuration; the owner leaves such data centres out of its passes, drops planned starts there, and starts nothing while its last read is older than the bound that the settings state. Servers that are still cold after their start are preferred less.

--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -3,6 +3,7 @@
 //! Invariant: each effect that expects a response carries a call id, and
 //! exactly one event with that id delivers the response.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -236,6 +237,8 @@
     pub labels: Vec<Name>,
     /// Resources of the whole backend server, free or in use.
     pub capacity: Resources,
+    /// Time for which the backend server stays slow after its start.
+    pub cold_left: Duration,
     /// Whether the backend server is draining before shutdown.
     pub draining: bool,
 }
@@ -408,6 +411,13 @@
         /// When the read was sent.
         requested_at: Duration,
     },
+    /// A read returned the requests to evacuate data centres.
+    Evacuations {
+        /// All data centres that are to be evacuated.
+        data_centres: BTreeSet<Name>,
+        /// When the read was sent.
+        requested_at: Duration,
+    },
     /// The configuration can't be read because the table service does not serve
     /// this VM.
     ConfigUnreachable {
--- a/crates/sched/src/fleet.rs
+++ b/crates/sched/src/fleet.rs
@@ -23,6 +23,9 @@
 /// Weight of the newest sample in the moving average of a backend server's
 /// slowness.
 const SLOWNESS_EWMA_WEIGHT: f64 = 0.25;
+/// Slowness that is assumed at least of a backend server which has just started and is still
+/// slow.
+const COLD_SLOWNESS: f64 = 1.5;
 /// Bound on the slowness of one sample, and on its inverse.
 const MAX_SLOWNESS: f64 = 5.0;
 
@@ -189,6 +192,8 @@
     /// Moving average of the run time of its tasks, relative to the mean of their
     /// image.
     pub(crate) slowness: f64,
+    /// Until when it is slow after its start.
+    pub(crate) cold_until: Duration,
     /// Until when it gets no work, after it reported itself unhealthy or a start
     /// could not be sent.
     pub(crate) unhealthy_until: Duration,
@@ -232,6 +237,7 @@
             runs: BTreeSet::new(),
             health: Health::default(),
             slowness: 1.0,
+            cold_until: Duration::ZERO,
             unhealthy_until: Duration::ZERO,
         }
     }
@@ -367,6 +373,14 @@
         self.slowness += SLOWNESS_EWMA_WEIGHT * (ratio - self.slowness);
     }
 
+    /// Expected run time of a task relative to the mean of its image.
+    pub(crate) fn relative_runtime(&self, now: Duration) -> f64 {
+        match now < self.cold_until {
+            true => self.slowness.max(COLD_SLOWNESS),
+            false => self.slowness,
+        }
+    }
+
     /// True when new runs may be placed on it.
     pub(crate) fn accepts_work(&self, timing: &Timing, now: Duration) -> bool {
         self.state == ServerState::Held
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -21,6 +21,7 @@
 pub(crate) mod divide;
 pub(crate) mod drain;
 pub(crate) mod ends;
+pub(crate) mod evacuation;
 pub(crate) mod event;
 pub(crate) mod failures;
 pub(crate) mod fence;
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -10,6 +10,7 @@
 use model::{Stage, Transaction, Write};
 
 use crate::drain::EndedTerm;
+use crate::evacuation::Evacuations;
 use crate::event::{
     ApiRequest, CallId, CallerId, ChangeFeed, Effect, Event, Offer, OfferResponse, PolicyDecision,
     PolicyError, Reply, StoreError, StoreResponse, Table, Time,
@@ -41,6 +42,7 @@
     pub(crate) settings: Settings,
     pub(crate) time: Time,
     active_config: ActiveConfig,
+    evacuations: Evacuations,
     pub(crate) term: Term,
     pub(crate) intake: Intake,
     pub(crate) owner: Option<Box<Owner>>,
@@ -75,6 +77,7 @@
         Self {
             time,
             active_config: ActiveConfig::default(),
+            evacuations: Evacuations::default(),
             term: Term::new(&mut rng),
             intake: Intake::default(),
             owner: None,
@@ -163,6 +166,15 @@
                 }
             }
             Event::ConfigCurrent { requested_at } => self.active_config.confirm(requested_at),
+            Event::Evacuations {
+                data_centres,
+                requested_at,
+            } => {
+                let change = self.evacuations.apply(data_centres, requested_at);
+                if !change.is_empty() {
+                    self.with_owner(|owner, cx| owner.evacuations_changed(&change, cx));
+                }
+            }
             Event::ConfigUnreachable { took, received } => {
                 if let Some(notice) = self.active_config.record_failure(took, received) {
                     self.log(notice);
@@ -208,6 +220,7 @@
         let mut cx = Cx {
             settings: &self.settings,
             config: &config,
+            evacuations: &self.evacuations,
             term: &mut self.term,
             time: self.time,
             last_call_id: &mut self.last_call_id,
@@ -247,6 +260,10 @@
         if let Some(notice) = self.active_config.check_staleness(limit, self.time.now) {
             self.log(notice);
         }
+        let (timing, now) = (&self.settings.timing, self.time.now);
+        if let Some(notice) = self.evacuations.check_staleness(timing, now) {
+            self.log(notice);
+        }
         self.with_intake(|intake, cx| intake.tick(cx));
         self.with_owner(|owner, cx| owner.tick(cx));
         self.tick_drain();
@@ -449,6 +466,7 @@
         let mut cx = Cx {
             settings: &self.settings,
             config: &self.active_config.config.clone(),
+            evacuations: &self.evacuations,
             term: &mut self.term,
             time: self.time,
             last_call_id: &mut self.last_call_id,
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -276,6 +276,19 @@
     /// No event was handled for longer than expected; the VM was probably
     /// suspended.
     Woke { gap_ms: u64 },
+    /// The operator asked to evacuate a data centre; nothing starts there any more.
+    Evacuated {
+        data_centre: Name,
+        /// Runs that had not been ordered yet and are placed elsewhere.
+        planned: u32,
+        /// Runs that go on there.
+        running: u32,
+    },
+    /// The operator withdrew the request to evacuate a data centre.
+    Restored { data_centre: Name },
+    /// The requests to evacuate data centres are too old to start anything, or were read
+    /// again.
+    EvacuationsStale { stale: bool, age_ms: u64 },
     /// The throttle of a best-effort run was changed.
     Paced {
         job: Name,
@@ -340,6 +353,9 @@
             Self::LayoutUnusable { .. } => 382,
             Self::RowsDivided { .. } => 383,
             Self::Paced { .. } => 390,
+            Self::Evacuated { .. } => 400,
+            Self::Restored { .. } => 401,
+            Self::EvacuationsStale { .. } => 402,
         }
     }
 
@@ -360,6 +376,7 @@
                 | Self::AdviceFailed { .. }
                 | Self::RowMalformed { .. }
                 | Self::LayoutUnusable { .. }
+                | Self::EvacuationsStale { stale: true, .. }
                 | Self::Woke { .. }
         )
     }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -91,8 +91,10 @@
             return;
         }
         let server = placed.server;
-        // It may have begun to drain while the start waited.
-        if self.fleet.get(server).listing.draining {
+        // It may have begun to drain while the start waited, or its data centre to be
+        // evacuated.
+        let draining = self.fleet.get(server).listing.draining;
+        if draining || !self.may_start_in_data_centre(server, cx) {
             self.discard_run(run, cx);
             return;
         }
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -14,6 +14,7 @@
 use crate::commit::{Change, Commits};
 use crate::config::Config;
 use crate::divide::Division;
+use crate::evacuation::Evacuations;
 use crate::event::{CallId, Effect, Listing, Order, OrderError, OrderResponse, Rejection, Time};
 use crate::fence::Fences;
 use crate::fleet::{Fleet, ServerIx, ServerState, StaleLeases};
@@ -30,6 +31,7 @@
 pub(crate) struct Cx<'a> {
     pub(crate) settings: &'a Settings,
     pub(crate) config: &'a Config,
+    pub(crate) evacuations: &'a Evacuations,
     pub(crate) term: &'a mut Term,
     pub(crate) time: Time,
     pub(crate) last_call_id: &'a mut CallId,
@@ -249,6 +251,8 @@
     /// Applies one registry entry. Entries of older incarnations are ignored.
     pub(crate) fn server_listed(&mut self, listing: Listing, cx: &mut Cx<'_>) {
         self.place_due = true;
+        let (id, incarnation) = (listing.id.clone(), listing.incarnation);
+        let cold_until = cx.now().saturating_add(listing.cold_left);
         match self.fleet.find(&listing.id) {
             Some(ix) if self.fleet.get(ix).listing.incarnation == listing.incarnation => {
                 self.update_listing(ix, listing, cx);
@@ -269,6 +273,10 @@
                 }
             }
         }
+        let current = self.fleet.find(&id).map(|ix| self.fleet.get_mut(ix));
+        if let Some(server) = current.filter(|s| s.listing.incarnation == incarnation) {
+            server.cold_until = cold_until;
+        }
     }
 
     /// Replaces an incarnation by a newer one with the same id. Orders are
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -174,10 +174,7 @@
     fn collect_ranked_steps(&mut self, cx: &Cx<'_>) -> Vec<RankedStep> {
         let may_have_unknown_runs = self.may_have_unknown_runs();
         let mut utilizations = HashMap::new();
-        let live = self.fleet.live();
-        let total = live.fold(Resources::ZERO, |sum, ix| {
-            sum.plus(self.fleet.get(ix).listing.capacity)
-        });
+        let total = self.total_capacity(cx);
         let mut ranked_steps = Vec::new();
         let jobs: Vec<JobIx> = self.ledger.jobs.keys().copied().collect();
         for ix in jobs {
@@ -247,11 +244,13 @@
         let with_orphans: HashSet<ServerIx> = self.orphan_runs.keys().map(|(ix, _)| *ix).collect();
         for ix in self.fleet.live() {
             let server = self.fleet.get(ix);
-            let available = !with_orphans.contains(&ix) && !self.is_in_probation(ix, cx.now());
+            let available = !with_orphans.contains(&ix)
+                && !self.is_in_probation(ix, cx.now())
+                && self.may_start_in_data_centre(ix, cx);
             if available && server.accepts_work(timing, cx.now()) {
                 let service = server.listing.service.clone();
                 let pool = pools.entry(service).or_default();
-                pool.candidates.push((ix, self.candidate(ix)));
+                pool.candidates.push((ix, self.candidate(ix, cx.now())));
                 if cx.now() < server.withheld_until {
                     pool.withheld.insert(ix);
                 }
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -218,7 +218,7 @@
 
     /// Describes a backend server to the placement policy, without properties that
     /// depend on the step.
-    pub(crate) fn candidate(&self, ix: ServerIx) -> Candidate {
+    pub(crate) fn candidate(&self, ix: ServerIx, now: Duration) -> Candidate {
         let server = self.fleet.get(ix);
         let (mut long_running_tasks, mut best_effort_tasks) = (0, 0);
         for run in &server.runs {
@@ -230,7 +230,7 @@
         Candidate {
             free: server.free(),
             capacity: server.listing.capacity,
-            relative_runtime: server.slowness,
+            relative_runtime: server.relative_runtime(now),
             distance_factor: 1.0,
             long_running_tasks,
             best_effort_tasks,
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -69,6 +69,9 @@
     /// Age of the last confirmation of the configuration above which API keys
     /// are no longer trusted.
     pub max_config_age: Duration,
+    /// Age of the last read of the requests to evacuate data centres above which nothing
+    /// starts; `None` if no bound is promised to the operator.
+    pub max_evacuation_age: Option<Duration>,
     /// How long before its due time an occurrence of a recurring job may start.
     pub early_start: Duration,
     /// Default timeout of a call to the table service.
@@ -109,6 +112,7 @@
             server_timeout: ms(3_000),
             registry_absence: ms(2_300),
             max_config_age: ms(4_000),
+            max_evacuation_age: None,
             early_start: ms(0),
             store_timeout: ms(1_200),
             state_retention: ms(180_000),
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -4,6 +4,7 @@
 mod acceptance;
 mod capacity;
 mod changes;
+mod evacuation;
 mod gangs;
 mod harness;
 mod health;
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -978,6 +978,7 @@
         rack: format_compact!("r{}", server.data_centre),
         labels: Vec::new(),
         capacity: server.capacity,
+        cold_left: Duration::ZERO,
         draining: server.draining,
     }
 }
