--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -276,7 +276,7 @@
             cx.refuse(caller, id, &queue.name, refusal);
             return;
         };
-        let id = JobId::from(id.to_ascii_lowercase());
+        let id = JobId::from(id);
         let call = |purpose: Purpose| PendingCall {
             caller,
             partition: layout.partition_of(&id),
--- a/crates/sched/tests/owner/acceptance.rs
+++ b/crates/sched/tests/owner/acceptance.rs
@@ -127,3 +127,20 @@
 
     assert_eq!(harness.placements.len(), 2);
 }
+
+/// Guards against tasks that start under another id than the caller sent.
+#[test]
+fn a_job_keeps_the_id_that_its_caller_sent() {
+    let mut harness = owner_of(1);
+
+    harness.submit_plain("00000000000000AB");
+    harness.submit_plain("00000000000000ab");
+    harness.advance(Duration::from_millis(500));
+
+    let ids = harness
+        .placements
+        .iter()
+        .map(|(_, run)| run.task.job.as_str());
+    let ids: Vec<&str> = ids.collect();
+    assert_eq!(ids, ["00000000000000AB", "00000000000000ab"]);
+}
