Hand over at once when the table service turns the owner away

Cause: an owner that was refused asked for a successor 0.7 s after its last confirmed write, and its successor then waited until the owner had been silent for 0.65 s. Change: two refused heartbeats are enough, and a VM that the owner asks claims after its delay by strength alone.

--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -347,11 +347,11 @@
     }
 
     /// Asks the helpers to take over ownership because this VM can't reach the
-    /// table service.
-    pub(crate) fn request_takeover(&mut self, cx: &mut Cx<'_>) {
+    /// table service; `why` is `HandOver` or `TurnedAway`.
+    pub(crate) fn request_takeover(&mut self, why: &OfferResponse, cx: &mut Cx<'_>) {
         for helper in self.policy_dispatcher.helpers.values_mut() {
             if let Some((caller, _)) = helper.offer.take() {
-                let reply = Reply::Helper(OfferResponse::HandOver);
+                let reply = Reply::Helper(why.clone());
                 cx.out.push(Effect::Reply { caller, reply });
             }
         }
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -96,8 +96,12 @@
     Query(PolicyQuery),
     /// No query is waiting.
     Idle,
-    /// The owner can't reach the table service; a VM that can should take over.
+    /// The owner gets no answers from the table service; a VM that does should take over
+    /// once the owner has been silent for long enough.
     HandOver,
+    /// The table service refuses the owner's writes; a VM that it serves should take over
+    /// at once.
+    TurnedAway,
     /// The connection was refused: the owner's process is not listening.
     Refused,
     /// The owner did not respond.
--- a/crates/sched/src/heartbeat.rs
+++ b/crates/sched/src/heartbeat.rs
@@ -13,14 +13,15 @@
 use model::{Condition, Row, Transaction};
 
 use crate::commit::put;
-use crate::event::{CallId, Effect, StoreError, StoreResponse, live_value};
+use crate::event::{CallId, Effect, OfferResponse, StoreError, StoreResponse, live_value};
 use crate::notice::Notice;
 use crate::owner::{Cx, Owner};
 use crate::partition::{CELL_PARTITION, PartitionId};
 use crate::rows::{self, Heartbeat};
 
-/// Number of consecutive failed heartbeats after which an owner asks for a
-/// successor.
+/// Number of consecutive failed heartbeats after which an owner asks for a successor: at
+/// once if all of them were refused. Without answers, it waits for the handover time, since
+/// a successor would get none either while the answers of the table service are lost.
 const HANDOVER_HEARTBEATS: u32 = 2;
 
 /// Heartbeats in flight, and what the past ones showed.
@@ -41,6 +42,8 @@
     last_at: Duration,
     /// Heartbeats that failed since the last one that was applied.
     failed: u32,
+    /// Those of them that the table service has refused.
+    refused: u32,
     /// Partitions whose last write failed.
     failing_partitions: BTreeSet<PartitionId>,
 }
@@ -178,6 +181,7 @@
             Ok(StoreResponse::Rows { .. }) => {}
             Err(error) => {
                 self.heartbeats.failed += 1;
+                self.heartbeats.refused += u32::from(*error == StoreError::Unavailable);
                 self.update_store_availability(CELL_PARTITION, Some(error), cx);
                 self.maybe_request_successor(cx);
             }
@@ -188,6 +192,7 @@
     fn heartbeat_confirmed(&mut self, sent_at: Duration, cx: &mut Cx<'_>) {
         cx.term.confirm(sent_at);
         self.heartbeats.failed = 0;
+        self.heartbeats.refused = 0;
         self.place_due = true;
         self.update_store_availability(CELL_PARTITION, None, cx);
     }
@@ -215,13 +220,19 @@
         self.heartbeat_confirmed(sent_at, cx);
     }
 
-    /// Asks for a successor when consecutive heartbeats fail and no write has been
-    /// confirmed for the handover time.
+    /// Asks for a successor when the table service turns this VM away, or when consecutive
+    /// heartbeats fail and no write has been confirmed for the handover time.
     fn maybe_request_successor(&mut self, cx: &mut Cx<'_>) {
         let unconfirmed = cx.now().saturating_sub(cx.term.confirmed_at);
         let failing = self.heartbeats.failed >= HANDOVER_HEARTBEATS;
-        if failing && unconfirmed >= cx.settings.timing.handover_after {
-            self.request_takeover(cx);
+        match () {
+            () if self.heartbeats.refused >= HANDOVER_HEARTBEATS => {
+                self.request_takeover(&OfferResponse::TurnedAway, cx);
+            }
+            () if failing && unconfirmed >= cx.settings.timing.handover_after => {
+                self.request_takeover(&OfferResponse::HandOver, cx);
+            }
+            () => {}
         }
     }
 
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -545,6 +545,11 @@
                 });
             }
             OfferResponse::Idle => self.next_offer_at = self.time.now,
+            OfferResponse::TurnedAway => {
+                self.next_offer_at = self.time.now + OFFER_RETRY_DELAY;
+                self.term.note_handover_request(self.time.now);
+                self.suspect_owner();
+            }
             OfferResponse::HandOver | OfferResponse::Refused | OfferResponse::Lost => {
                 self.next_offer_at = self.time.now + OFFER_RETRY_DELAY;
                 self.suspect_owner();
--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -74,6 +74,8 @@
     pub(crate) majority_reachable: bool,
     /// When the owner was last suspected to have failed.
     owner_suspected_at: Option<Duration>,
+    /// The epoch whose owner last asked for a successor, and when.
+    handover_request: Option<(Epoch, Duration)>,
     /// Random part of the delay of this VM's claims, drawn once per process.
     claim_jitter: Duration,
 }
@@ -95,6 +97,7 @@
             store_clock: (Duration::ZERO, Duration::ZERO),
             majority_reachable: false,
             owner_suspected_at: None,
+            handover_request: None,
             claim_jitter: CLAIM_JITTER.mul_f64(rng.f64()),
         }
     }
@@ -217,6 +220,18 @@
         self.owner_suspected_at = Some(now);
     }
 
+    /// Notes that the owner has asked for a successor.
+    pub(crate) fn note_handover_request(&mut self, now: Duration) {
+        self.handover_request = Some((self.owner.epoch, now));
+    }
+
+    /// True while a request of the present owner for a successor is recent.
+    fn is_handover_requested(&self) -> bool {
+        let recent = |at: Duration| self.current_at < at + SUSPICION_TTL;
+        self.handover_request
+            .is_some_and(|(epoch, at)| epoch == self.owner.epoch && recent(at))
+    }
+
     /// Delay of this VM's claims, from its CPU share and the random part.
     fn claim_delay(&self, settings: &Settings) -> Duration {
         let max_cpu_share = match self.heartbeat.max_cpu_share {
@@ -229,7 +244,7 @@
     }
 
     /// Silence of the owner after which this VM claims. It is zero when the owner was
-    /// an earlier process of this VM.
+    /// an earlier process of this VM, and short when the owner has asked for a successor.
     fn claim_timeout(&self, settings: &Settings) -> Duration {
         let timing = &settings.timing;
         let suspected = self
@@ -239,6 +254,7 @@
         match () {
             () if restarted => Duration::ZERO,
             () if self.owner_version == 0 || self.owner.released => self.claim_delay(settings),
+            () if self.is_handover_requested() => self.claim_delay(settings),
             () if suspected => timing.suspected_owner_timeout + self.claim_delay(settings),
             () => timing.owner_timeout + self.claim_delay(settings),
         }
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -6,6 +6,7 @@
 mod changes;
 mod evacuation;
 mod gangs;
+mod handover;
 mod harness;
 mod health;
 mod incarnations;
