Decide on speculative copies from progress, contact and the job's objective

Cause: 3% of the tasks take seven times as long, and servers stall or are cut off; a job of a step that permits copies waits for its last task all the same.

Change: policy::speculation, a pure module.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub(crate) mod select;
 pub mod shortage;
 pub mod shortlist;
+pub mod speculation;
 pub(crate) mod tree;
 pub(crate) mod verify;
 pub(crate) mod worker;
--- a/crates/policy/src/shortage.rs
+++ b/crates/policy/src/shortage.rs
@@ -32,6 +32,12 @@
 pub struct Shortages(Vec<Need>);
 
 impl Shortages {
+    /// Returns true if no need is known to lack room.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Returns true if the pool is known to have no room for a need.
     #[must_use]
     pub fn covers(&self, need: &Need) -> bool {
