Start copies of late tasks of speculative steps

Cause: Step::speculative was accepted and had no effect: a task had at most one run, also while its server was silent for the rest of its lease.

Change: place::copies examines a bounded number of runs that may be copied at the end of each pass, asks servers for progress, and starts copies in the room that is left, within the team's limit, copy_share of the service, and the attempts that remain. sched::copies learns from the first end. The last attempt of a task avoids the servers and racks of its failures, and event 414 says why a job failed. A late failure of a completed task no longer counts. Events 410 to 414, metrics copy_saved_ms and copy_spent_ms.

--- a/crates/sched/src/accounts.rs
+++ b/crates/sched/src/accounts.rs
@@ -74,7 +74,7 @@
     let Some(spec) = ledger.spec(run.task.step) else {
         return;
     };
-    let (committed, held) = (spec.committed(), spec.each);
+    let (committed, held, speculative) = (spec.committed(), spec.each, spec.speculative);
     let placed = Placement {
         server,
         state,
@@ -84,6 +84,8 @@
         confirmed: state == RunState::Running,
         confirmed_at: now,
         percent: 0,
+        reported_at: None,
+        advanced_at: None,
         gauge: 0,
         pace: 100,
         last_high_latency_at: None,
@@ -94,6 +96,9 @@
     if ledger.runs.insert(run, placed).is_some() {
         return;
     }
+    if speculative {
+        ledger.speculative_runs.insert(run);
+    }
     if let Some(task) = ledger.task_mut(run.task) {
         task.runs.push(run.number);
         task.last_run_number = task.last_run_number.max(run.number);
@@ -117,6 +122,7 @@
     now: Duration,
 ) -> Option<Placement> {
     let placed = ledger.runs.remove(&run)?;
+    ledger.speculative_runs.remove(&run);
     let committed = ledger.spec(run.task.step).map(model::Step::committed);
     if let Some(task) = ledger.task_mut(run.task) {
         task.runs.retain(|number| *number != run.number);
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -29,6 +29,9 @@
         let run = task.run(finished.run.number);
         self.withdraw_loss(run);
         self.place_due = true;
+        if finished.outcome == RunOutcome::Completed {
+            self.note_first_end(run, cx);
+        }
         let placed = self.remove_run(run, cx);
         let ordered_at = placed.as_ref().map_or(cx.now(), |p| p.ordered_at);
         let ran = cx.now().saturating_sub(ordered_at);
@@ -91,6 +94,7 @@
     /// Removes a run and frees its resources.
     fn remove_run(&mut self, run: RunRef, cx: &Cx<'_>) -> Option<crate::ledger::Placement> {
         let owner = &mut *self;
+        owner.copies.forget(run);
         let (ledger, fleet) = (&mut owner.ledger, &mut owner.fleet);
         accounts::release(ledger, fleet, &mut owner.accounts, run, cx.now())
     }
@@ -196,7 +200,8 @@
         started_at: Duration,
         cx: &mut Cx<'_>,
     ) {
-        let Some(entry) = self.ledger.task_mut(holder) else {
+        // The late failure of another run changes nothing once a run has completed.
+        let Some(entry) = self.ledger.task_mut(holder).filter(|entry| !entry.done) else {
             return;
         };
         let is_new = !entry.failures.contains(&run.number);
@@ -210,7 +215,10 @@
         let job = self.ledger.jobs.get(&holder.step.job);
         let last = job.is_some_and(|job| failures >= job.max_attempts(cx.config));
         match last {
-            true => self.finish_job(holder.step.job, Stage::Failed, cx),
+            true => {
+                self.log_attempts_used(holder, failures, cx);
+                self.finish_job(holder.step.job, Stage::Failed, cx);
+            }
             false => self.stop_gang(run, cx),
         }
     }
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -480,6 +480,10 @@
     PolicyCall,
     /// Latency of a group commit that was applied.
     Commit,
+    /// Time by which a copy ended before the estimated end of the run that it copied.
+    CopySaved,
+    /// Time for which a copy ran that did not end first.
+    CopySpent,
 }
 
 /// Output of the reducer, carried out by the event loop.
--- a/crates/sched/src/failures.rs
+++ b/crates/sched/src/failures.rs
@@ -23,6 +23,10 @@
 /// backend server alone may be what fails.
 const MIN_SERVERS_TO_BLAME_JOB: usize = 2;
 
+/// Number of backend servers that are kept of a task or step that has failed. Queues permit
+/// fewer attempts.
+const MAX_KNOWN: usize = 8;
+
 /// Backend servers on which runs of a task or step have failed.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FailedOn {
@@ -30,11 +34,16 @@
     pub(crate) last: Option<ServerIx>,
     /// Those that speak against the job, at most `SERVERS_TO_BLAME_JOB`.
     witnesses: Vec<ServerIx>,
+    /// The first ones, at most `MAX_KNOWN`.
+    pub(crate) known: Vec<ServerIx>,
 }
 
 impl FailedOn {
     fn note(&mut self, server: ServerIx, is_witness: bool) {
         self.last = Some(server);
+        if self.known.len() < MAX_KNOWN && !self.known.contains(&server) {
+            self.known.push(server);
+        }
         let full = self.witnesses.len() >= SERVERS_TO_BLAME_JOB;
         if is_witness && !full && !self.witnesses.contains(&server) {
             self.witnesses.push(server);
@@ -60,6 +69,47 @@
         }
     }
 
+    /// Backend servers on which a task or its gang has failed, if only one more attempt is
+    /// permitted. Those of an earlier owner are not known.
+    pub(crate) fn last_attempt(&self, task: TaskRef) -> Option<&[ServerIx]> {
+        let job = self.ledger.jobs.get(&task.step.job)?;
+        let attempts = job.acceptance.as_ref()?.max_attempts as usize;
+        let long_running = self.ledger.spec(task.step)?.long_running;
+        let holder = self.ledger.task(self.loss_holder(task))?;
+        let is_last = !long_running && holder.failures.len() + 1 >= attempts;
+        is_last.then_some(holder.failed_on.known.as_slice())
+    }
+
+    /// True when a backend server shares a rack with one of the others.
+    pub(crate) fn shares_rack_with(&self, ix: ServerIx, others: &[ServerIx]) -> bool {
+        let rack = |ix: ServerIx| &self.fleet.get(ix).listing.rack;
+        !rack(ix).is_empty() && others.iter().any(|other| rack(*other) == rack(ix))
+    }
+
+    /// Logs why a job fails: which task has used up its attempts, and where they failed.
+    pub(crate) fn log_attempts_used(&self, holder: TaskRef, failures: u32, cx: &mut Cx<'_>) {
+        let job = self.ledger.jobs.get(&holder.step.job);
+        let Some(job) = job.filter(|job| !job.stage.is_terminal()) else {
+            return;
+        };
+        let known = self.ledger.task(holder).map(|task| &task.failed_on.known);
+        let ids = known.into_iter().flatten();
+        let ids: Vec<&str> = ids
+            .map(|ix| self.fleet.get(*ix).listing.id.as_str())
+            .collect();
+        cx.log(Notice::AttemptsUsed {
+            job: job.id.clone(),
+            task: compact_str::format_compact!(
+                "{}.{}.{}",
+                holder.step.occurrence,
+                holder.step.step,
+                holder.index
+            ),
+            failures,
+            servers: ids.join(",").into(),
+        });
+    }
+
     /// True when the failure of a run on a backend server may speak against its job:
     /// nothing was wrong with the server when the run started, or no server of the
     /// service is known to be sound.
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -3,7 +3,7 @@
 //! Invariant: `Task::runs` lists exactly the runs of the task that are in
 //! `Ledger::runs`, and a job index is never reused.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -91,6 +91,9 @@
     /// Completed part of the work in percent; 100 for a long-running task that
     /// serves requests.
     pub(crate) percent: u8,
+    /// When `percent` was last reported, and when a report last showed more than before.
+    pub(crate) reported_at: Option<Duration>,
+    pub(crate) advanced_at: Option<Duration>,
     /// Last reported tail latency in ms, or number of processors in use.
     pub(crate) gauge: u64,
     /// Pace last ordered, in percent of full speed.
@@ -105,6 +108,17 @@
     pub(crate) next_stop_at: Duration,
 }
 
+impl Placement {
+    /// Applies a report of the completed part of the work.
+    pub(crate) fn observe_percent(&mut self, percent: u8, now: Duration) {
+        if percent > self.percent {
+            self.advanced_at = Some(now);
+        }
+        self.percent = percent;
+        self.reported_at = Some(now);
+    }
+}
+
 /// State of a task.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
@@ -418,6 +432,8 @@
     pub(crate) jobs: BTreeMap<JobIx, Job>,
     by_id: HashMap<JobId, JobIx>,
     pub(crate) runs: HashMap<RunRef, Placement>,
+    /// Those of `runs` whose tasks may have copies.
+    pub(crate) speculative_runs: BTreeSet<RunRef>,
     next_index: JobIx,
 }
 
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -18,6 +18,7 @@
 pub(crate) mod advice;
 pub(crate) mod commit;
 pub(crate) mod config;
+pub(crate) mod copies;
 pub(crate) mod divide;
 pub(crate) mod drain;
 pub(crate) mod ends;
--- a/crates/sched/src/lists.rs
+++ b/crates/sched/src/lists.rs
@@ -228,6 +228,7 @@
                 lease_left_ms: expire_at.map(|at| ms(at.saturating_sub(cx.now()))),
             };
             cx.log(notice);
+            self.place_due = true; // For copies of what runs there.
         }
     }
 
@@ -349,7 +350,7 @@
     ) {
         match self.ledger.runs.get_mut(&run) {
             Some(placed) if placed.server == ix => {
-                placed.percent = progress.percent;
+                placed.observe_percent(progress.percent, cx.now());
                 placed.gauge = progress.gauge;
                 placed.confirmed = true;
                 if matches!(placed.state, RunState::Planned | RunState::Starting) {
@@ -409,7 +410,7 @@
             cx.now(),
         );
         if let Some(placed) = self.ledger.runs.get_mut(&run) {
-            placed.percent = progress.percent;
+            placed.observe_percent(progress.percent, cx.now());
             placed.gauge = progress.gauge;
             placed.pace = crate::pace::UNKNOWN_PACE;
         }
@@ -500,7 +501,7 @@
 
     /// When all leases on a backend server have certainly expired, unless this owner
     /// renews them; `None` while an earlier owner may still do so.
-    fn leases_expire_at(&self, ix: ServerIx, timing: &Timing) -> Option<Duration> {
+    pub(crate) fn leases_expire_at(&self, ix: ServerIx, timing: &Timing) -> Option<Duration> {
         let server = self.fleet.get(ix);
         let known = server.granted_until(timing);
         match server.inherited {
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -289,6 +289,50 @@
     /// The requests to evacuate data centres are too old to start anything, or were read
     /// again.
     EvacuationsStale { stale: bool, age_ms: u64 },
+    /// A copy of a running task of a speculative step was started.
+    CopyStarted {
+        job: Name,
+        task: Name,
+        run: Attempt,
+        server: Name,
+        /// Run that is copied, and its backend server.
+        of: Attempt,
+        of_server: Name,
+        /// `silent` (server), `stalled`, `slow` or `overdue` (run).
+        why: Name,
+        /// Estimated remaining time of the run, and run time of the copy.
+        remaining_ms: u64,
+        fresh_ms: u64,
+    },
+    /// A copy completed first.
+    CopyWon {
+        job: Name,
+        task: Name,
+        run: Attempt,
+        server: Name,
+        /// Time until the estimated end of the other run.
+        saved_ms: u64,
+    },
+    /// The run that was copied completed first.
+    CopyLost {
+        job: Name,
+        task: Name,
+        run: Attempt,
+        server: Name,
+        /// Time for which the copy had run.
+        spent_ms: u64,
+    },
+    /// Copies of tasks of an image do not complete first, and are not started for a while.
+    CopiesCeased { image: Name },
+    /// A task has failed as often as its queue permits; its job has failed.
+    AttemptsUsed {
+        job: Name,
+        task: Name,
+        /// Number of failed runs.
+        failures: u32,
+        /// Backend servers on which they failed, as far as this owner knows.
+        servers: Name,
+    },
     /// The throttle of a best-effort run was changed.
     Paced {
         job: Name,
@@ -356,6 +400,11 @@
             Self::Evacuated { .. } => 400,
             Self::Restored { .. } => 401,
             Self::EvacuationsStale { .. } => 402,
+            Self::CopyStarted { .. } => 410,
+            Self::CopyWon { .. } => 411,
+            Self::CopyLost { .. } => 412,
+            Self::CopiesCeased { .. } => 413,
+            Self::AttemptsUsed { .. } => 414,
         }
     }
 
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -169,7 +169,9 @@
         let label = self.run_label(run, server);
         let ready = self.ledger.step(run.task.step).and_then(|s| s.ready_since);
         let waited = cx.now().saturating_sub(ready.unwrap_or(cx.now()));
-        if let Some(job) = self.ledger.jobs.get(&run.task.step.job) {
+        // A copy has not waited; its task runs.
+        let copies = self.ledger.task(run.task).is_some_and(|t| t.runs.len() > 1);
+        if let Some(job) = self.ledger.jobs.get(&run.task.step.job).filter(|_| !copies) {
             cx.out.push(Effect::RecordMetric {
                 metric: Metric::Wait,
                 team: job.team.clone(),
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -13,6 +13,7 @@
 use crate::advice::PolicyDispatcher;
 use crate::commit::{Change, Commits};
 use crate::config::Config;
+use crate::copies::Copies;
 use crate::divide::Division;
 use crate::evacuation::Evacuations;
 use crate::event::{CallId, Effect, Listing, Order, OrderError, OrderResponse, Rejection, Time};
@@ -90,6 +91,7 @@
     pub(crate) recorded_starts: Vec<RunRef>,
     pub(crate) orphan_runs: OrphanRuns,
     pub(crate) open_losses: OpenLosses,
+    pub(crate) copies: Copies,
     /// Class of each image, under which its run times are estimated.
     pub(crate) image_classes: HashMap<Name, u32>,
     pub(crate) estimates: RuntimeEstimates,
@@ -133,6 +135,7 @@
             recorded_starts: Vec::new(),
             orphan_runs: HashMap::new(),
             open_losses: OpenLosses::default(),
+            copies: Copies::default(),
             image_classes: HashMap::new(),
             estimates: RuntimeEstimates::default(),
             token_buckets: HashMap::new(),
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -5,8 +5,9 @@
 //! steps.
 //!
 //! Invariant: a pass never reserves more of a backend server than is free, and
-//! never starts a task while a run of it may exist.
+//! never starts a task while a run of it may exist, except for copies.
 
+pub(crate) mod copies;
 pub(crate) mod gang;
 pub(crate) mod pool;
 pub(crate) mod query;
@@ -86,6 +87,9 @@
             }
             in_flight += self.place_step(&ranked, &mut pools, cx);
         }
+        if in_flight < max_in_flight {
+            self.start_copies(&mut pools, cx);
+        }
         let examined: usize = pools.values().map(|pool| pool.examined).sum();
         let pass_time =
             PASS_TIME_PER_STEP * self.waiting_steps + TIME_PER_EXAMINED * examined as u32;
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -101,12 +101,18 @@
         let mut plan = Plan::new();
         for index in waiting {
             let task = step.task(*index);
+            let last_attempt = self.last_attempt(task);
             let best = candidates
                 .iter_mut()
                 .filter(|(_, _, placed)| *placed < max_per_server)
                 .filter_map(|entry| {
-                    entry.1.failed_before = self.is_avoided(task, entry.0);
-                    Some((fit::cost(&each, kind, &entry.1)?, entry))
+                    entry.1.failed_before = self.is_avoided(task, entry.0)
+                        || last_attempt.is_some_and(|failed| failed.contains(&entry.0));
+                    let caution = last_attempt.map_or(0.0, |failed| {
+                        let failed_in_rack = self.shares_rack_with(entry.0, failed);
+                        fit::last_attempt_cost(&entry.1, failed_in_rack)
+                    });
+                    Some((fit::cost(&each, kind, &entry.1)? + caution, entry))
                 })
                 .min_by(|(a, _), (b, _)| a.total_cmp(b));
             let Some((_, (ix, candidate, placed))) = best else {
@@ -177,6 +183,19 @@
         waiting.into_iter().take(allowed.max(min_allowed)).collect()
     }
 
+    /// True if a copy of a task may start within the team's limit.
+    pub(crate) fn is_copy_within_limit(
+        &self,
+        step: StepRef,
+        spec: &Step,
+        team: &Name,
+        cx: &Cx<'_>,
+    ) -> bool {
+        let limit = self.effective_limit(step, spec, team, 1, cx);
+        let requested = spec.each.plus(self.unknown_usage());
+        self.accounts.allows(team, &limit, requested)
+    }
+
     /// The team's limit as it applies to a step. While the team submits urgent
     /// jobs, steps that are neither urgent nor long-running leave part of the
     /// limit to them, unless a task or gang of the step could then never start.
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -146,6 +146,9 @@
     /// Factor on the run time of tasks placed outside the rack that holds their data;
     /// 1 makes the distance irrelevant.
     pub remote_factor: f64,
+    /// Share of a service's capacity that copies of tasks may take together; 0 turns copies
+    /// off.
+    pub max_copy_share: f64,
     /// Number of partitions for the rows of jobs in a cell that is created now; a
     /// cell that exists keeps its number.
     pub job_partitions: u32,
--- a/crates/sched/tests/owner/harness.rs
+++ b/crates/sched/tests/owner/harness.rs
@@ -36,6 +36,7 @@
         address: name.into(),
         cpu_share,
         remote_factor: 2.0,
+        max_copy_share: 0.05,
         job_partitions: 2,
         timing: Timing::default(),
     }
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -4,6 +4,7 @@
 mod acceptance;
 mod capacity;
 mod changes;
+mod copies;
 mod evacuation;
 mod gangs;
 mod harness;
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -252,6 +252,7 @@
         // The first VM has less CPU, so that it hands ownership over to others.
         cpu_share: if vm == 0 { 0.1 } else { 0.25 },
         remote_factor: 2.0,
+        max_copy_share: 0.05,
         job_partitions,
         timing: Timing::default(),
     }
