Check copies of tasks in the random schedules

Cause: no simulated job permitted copies, and servers reported every run as done.

Change: servers report the progress of runs; with the option copies half of the jobs permit copies and every fourth run of these is slow. At most two runs of such a task may be active, and one of any other.

--- a/crates/standin/src/graphs/callers.rs
+++ b/crates/standin/src/graphs/callers.rs
@@ -8,6 +8,9 @@
 use compact_str::format_compact;
 use model::{Graph, JobId, Name, Resources, RunKey, RunOutcome, Stage, Step, TaskId};
 
+/// Factor on the run time of slow runs of speculative steps.
+const SLOWDOWN: u32 = 7;
+
 /// Kinds of jobs that clients submit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum JobKind {
@@ -26,6 +29,7 @@
 pub(crate) struct TaskBehaviour {
     pub(crate) gang: bool,
     pub(crate) long_running: bool,
+    pub(crate) speculative: bool,
     always_fails: bool,
 }
 
@@ -33,6 +37,12 @@
     /// Returns when and how a run ends unless it is stopped.
     pub(crate) fn planned_end(&self, run: &RunKey, now: Duration) -> (Duration, RunOutcome) {
         let time = Duration::from_millis(200 + u64::from(run.task.index % 5) * 180);
+        // Every fourth run of a speculative step is slow for a cause of the run.
+        let is_slow = (u64::from(run.task.index) + run.number).is_multiple_of(4);
+        let time = match self.speculative && is_slow {
+            true => time * SLOWDOWN,
+            false => time,
+        };
         match self.always_fails {
             true => (now + time / 4, RunOutcome::Failed),
             false => (now + time, RunOutcome::Completed),
@@ -101,6 +111,13 @@
         }
     }
 
+    /// Permits copies of its tasks, unless they are a gang or long-running.
+    pub(crate) fn permit_copies(&mut self) {
+        for step in &mut self.graph.steps {
+            step.speculative = !step.gang && !step.long_running;
+        }
+    }
+
     /// Returns true for the task that crashes each backend server that starts it.
     pub(crate) fn crashes_server(&self, task: &TaskId) -> bool {
         self.crashes_servers && (task.step, task.index) == (0, 0)
@@ -113,6 +130,7 @@
         Some(TaskBehaviour {
             gang: step.gang,
             long_running: step.long_running,
+            speculative: step.speculative,
             always_fails: self.kind == JobKind::AlwaysFails,
         })
     }
--- a/crates/standin/src/graphs/server.rs
+++ b/crates/standin/src/graphs/server.rs
@@ -26,6 +26,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ActiveRun {
     pub(crate) number: Attempt,
+    started_at: Duration,
     /// When and how the run ends unless it is stopped; `None` for long-running
     /// tasks. [`RunOutcome::GangIncomplete`] marks a gang member that waits for the
     /// others.
@@ -33,6 +34,20 @@
     stops_at: Option<Duration>,
 }
 
+impl ActiveRun {
+    /// Part of the work done; 100 for a run without an end of its own.
+    fn percent(&self, now: Duration) -> u8 {
+        let (done, all) = match self.planned_end {
+            Some((end, RunOutcome::Completed | RunOutcome::Failed)) => (
+                now.saturating_sub(self.started_at),
+                end.saturating_sub(self.started_at),
+            ),
+            _ => return 100,
+        };
+        (done.as_millis() * 100 / all.as_millis().max(1)).min(99) as u8
+    }
+}
+
 /// A simulated backend server.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -231,7 +246,7 @@
                     self.lease_end = self.lease_end.max(lease_end.min(clock + MAX_LEASE));
                 }
                 self.acknowledge(*acknowledged, events);
-                OrderResponse::Lists(Box::new(self.run_lists(clock)))
+                OrderResponse::Lists(Box::new(self.run_lists(now)))
             }
             Order::Pace { .. } => OrderResponse::Done(clock.as_millis() as u64),
         }
@@ -270,6 +285,7 @@
         };
         let active = ActiveRun {
             number: run.number,
+            started_at: now,
             planned_end,
             stops_at: None,
         };
@@ -302,14 +318,15 @@
         }
     }
 
-    fn run_lists(&self, clock: Duration) -> RunLists {
+    fn run_lists(&self, now: Duration) -> RunLists {
+        let clock = self.local_clock(now);
         let running = self.active_runs.iter().map(|(task, active)| Progress {
             run: RunKey {
                 task: task.clone(),
                 number: active.number,
             },
             checkpoint: Name::default(),
-            percent: 100,
+            percent: active.percent(now),
             gauge: 0,
         });
         RunLists {
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -92,6 +92,9 @@
     pub partition_time: Duration,
     /// Period with more submissions than usual, if any.
     pub burst: Option<Burst>,
+    /// Half of the jobs without gangs and long-running tasks permit copies, and every
+    /// fourth run of their tasks is slow.
+    pub copies: bool,
 }
 
 /// A period in which clients submit more jobs.
@@ -115,6 +118,7 @@
             job_partitions: 3,
             partition_time: Duration::ZERO,
             burst: None,
+            copies: false,
         }
     }
 }
@@ -187,6 +191,8 @@
     pub completed: u32,
     /// Number of runs started on backend servers.
     pub starts: u64,
+    /// Number of those of tasks that were running.
+    pub copies: u64,
     /// Longest simulated time during which no running VM was the owner.
     pub max_ownerless: Duration,
     /// Total wall-clock time that the owner took to process events.
@@ -456,6 +462,7 @@
         let completed = |job: &&ClientJob| job.reported_stage == Some(Stage::Completed);
         self.report.completed = self.jobs.values().filter(completed).count() as u32;
         self.report.starts = self.checker.starts;
+        self.report.copies = self.checker.copies;
         let jobs = self.jobs.values();
         let accepted = jobs.filter(|job| job.accepted_at.is_some());
         let delay = |job: &ClientJob| {
--- a/crates/standin/src/graphs/world/calling.rs
+++ b/crates/standin/src/graphs/world/calling.rs
@@ -24,6 +24,9 @@
         let mut job = ClientJob::new(n, self.now, &mut self.rng);
         job.crashes_servers =
             self.is_fault_active(Fault::CrashingTasks) && n.is_multiple_of(CRASHING_JOB_DIVISOR);
+        if self.options.copies && n.is_multiple_of(2) {
+            job.permit_copies();
+        }
         let id = job.id.clone();
         if self.rng.u32(0..12) == 0 || job.kind == JobKind::Service {
             let wait = Duration::from_millis(self.rng.u64(500..6_000));
--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use standin::graphs::{Fault, Report, Simulation};
+use standin::graphs::{Fault, Report, Simulation, SimulationOptions};
 
 /// Seeds for the tests with at most one fault.
 const SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
@@ -26,6 +26,15 @@
     Simulation::new(seed, faults).run()
 }
 
+/// Runs a simulation in which half of the jobs permit copies of their tasks.
+fn run_with_copies(seed: u64, faults: &[Fault]) -> Report {
+    let options = SimulationOptions {
+        copies: true,
+        ..SimulationOptions::default()
+    };
+    Simulation::with_options(seed, faults, options).run()
+}
+
 fn assert_guarantees_hold(seed: u64, faults: &[Fault]) {
     let report = run(seed, faults);
 
@@ -57,6 +66,26 @@
     }
 }
 
+/// Guards against copies that break a guarantee under a fault: a third run of a task, a
+/// second one of a task that permits none, more than a server holds or a team may use.
+#[test]
+fn every_fault_alone_with_copies() {
+    for fault in solved_faults() {
+        let mut copies = 0;
+        for seed in SEEDS {
+            let report = run_with_copies(seed, &[fault]);
+            copies += report.copies;
+
+            assert!(
+                report.violations.is_empty(),
+                "{fault:?} seed {seed}: {:?}",
+                &report.violations[..report.violations.len().min(4)]
+            );
+        }
+        assert!(copies > 0, "{fault:?}: no copies were started");
+    }
+}
+
 #[test]
 fn every_pair_of_faults() {
     let faults = solved_faults();
