Bound the cost of the search for copies

Cause: each pass examined every run that may be copied, summed the capacity of the service for each late one, and asked for progress without a bound by time. A weak owner has passes every 4 ms, and each call leaves one behind that the server holds open.

Change: the interval of the examinations follows from their cost (5% of this VM's share) and is at least 20 ms; capacity is summed once a pass; 16 searches for a server a pass; 400 calls a second for each full core. Copies prefer servers like last attempts do. The owner's self-check covers the index of runs that may be copied, and that a copy is a run.

--- a/crates/policy/src/fit.rs
+++ b/crates/policy/src/fit.rs
@@ -56,25 +56,25 @@
 /// idle one whose relative run time is higher by this value.
 const LOAD_WEIGHT: f64 = 0.5;
 
-/// Cost of a backend server for a task's last permitted attempt that has failed tasks since
-/// one last completed. It outweighs run time, load and distance.
-const LAST_ATTEMPT_SUSPICION: f64 = 20.0;
-/// Cost, for a last attempt, of a rack in which the task has failed before.
-const LAST_ATTEMPT_RACK: f64 = 5.0;
-/// Weight of the run time of a last attempt in addition to its usual one: a slow server is
+/// Cost, for a run that must not fail, of a backend server that has failed tasks since one
+/// last completed. It outweighs run time, load and distance.
+const DOUBT_PENALTY: f64 = 20.0;
+/// The same for a rack in which the task has failed before, or is late.
+const SHARED_RACK_PENALTY: f64 = 5.0;
+/// Weight of the run time of such a run in addition to its usual one: a slow server is
 /// often one that is failing.
-const LAST_ATTEMPT_RUNTIME: f64 = 2.0;
+const CAUTIOUS_RUNTIME_WEIGHT: f64 = 2.0;
 
-/// What the last permitted attempt of a task costs on a candidate in addition to `cost`,
-/// so that it goes to the backend server that is most likely to end it. `failed_in_rack`
-/// is true if the task has failed in the candidate's rack.
+/// What a task's last permitted attempt, or a copy of a late run, costs on a candidate in
+/// addition to `cost`, so that it goes to the backend server that is most likely to end
+/// it. `shares_rack` is true if the task has failed, or is late, in the candidate's rack.
 #[must_use]
-pub fn last_attempt_cost(candidate: &Candidate, failed_in_rack: bool) -> f64 {
+pub fn caution_cost(candidate: &Candidate, shares_rack: bool) -> f64 {
     let doubtful = candidate.suspected || candidate.on_probation;
     let weight = |applies: bool, cost: f64| if applies { cost } else { 0.0 };
-    weight(doubtful, LAST_ATTEMPT_SUSPICION)
-        + weight(failed_in_rack, LAST_ATTEMPT_RACK)
-        + LAST_ATTEMPT_RUNTIME * candidate.relative_runtime
+    weight(doubtful, DOUBT_PENALTY)
+        + weight(shares_rack, SHARED_RACK_PENALTY)
+        + CAUTIOUS_RUNTIME_WEIGHT * candidate.relative_runtime
 }
 
 /// Cost of running a task on a candidate, lower is better; `None` if the task
--- a/crates/sched/src/copies.rs
+++ b/crates/sched/src/copies.rs
@@ -36,6 +36,8 @@
     pub(crate) outcomes: Outcomes,
     /// The last run that was examined.
     pub(crate) examined: Option<RunRef>,
+    /// When runs are examined next.
+    pub(crate) next_at: Duration,
     /// When backend servers were last asked for the progress of their runs.
     pub(crate) asked: HashMap<ServerIx, Duration>,
 }
--- a/crates/sched/src/place/copies.rs
+++ b/crates/sched/src/place/copies.rs
@@ -5,11 +5,12 @@
 //! attempts, so that it does not matter which of its runs fail. All copies together take
 //! at most `Settings::max_copy_share` of their service's capacity.
 
+use std::collections::HashMap;
 use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 
-use model::{Attempt, Name, Resources, Step};
+use model::{Attempt, Graph, Name, Resources, Step};
 use policy::fit::{self, Candidate, TaskKind};
 use policy::speculation::{self, Contact, Copy, Decision, Load, Report, Run, Stakes, Times};
 
@@ -19,28 +20,33 @@
 use crate::ledger::{Placement, RunRef, RunState, StepRef};
 use crate::notice::{Notice, ms};
 use crate::owner::{Cx, Owner};
-use crate::place::QueueSettings;
 use crate::place::pool::{ServerPool, ServerPools};
+use crate::place::{MIN_CPU_SHARE, QueueSettings};
 
 /// Number of runs that a pass examines; the next one continues after them.
 const MAX_EXAMINED_RUNS: usize = 256;
-/// Number of copies that a pass starts.
-const MAX_STARTS: usize = 16;
-/// Number of backend servers that a pass asks for the progress of their runs. At 4 ms
-/// between passes that is more than the short steps of a large cell need.
-const MAX_ASKED: usize = 4;
+/// Number of runs for which a pass looks for a server for a copy.
+const MAX_SEARCHES: usize = 16;
+/// Time that examining one run takes on one full core, and the part of the owner's CPU time
+/// that it may use.
+const TIME_PER_RUN: Duration = Duration::from_micros(2);
+const CPU_PART: f64 = 0.05;
+/// Shortest interval between two examinations.
+const MIN_INTERVAL: Duration = Duration::from_millis(20);
+/// Number of calls a second, for each full core of this VM, that ask backend servers for the
+/// progress of their runs. Each leaves a call behind that the server holds open.
+const ASKED_PER_CORE: f64 = 400.0;
 /// Time without an answer to such a call after which a backend server counts as silent
 /// here; it answers within some milliseconds, and a call is lost after 700 ms.
 const MAX_ANSWER_TIME: Duration = Duration::from_millis(350);
 /// Interval of such calls to one backend server.
-const ASK_INTERVAL: Duration = Duration::from_millis(250);
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of backend servers named in a query for the ticket of a copy.
 const SERVERS_PER_QUERY: usize = 8;
 /// Priority of these queries; all others go first.
 const QUERY_PRIORITY: u32 = u32::MAX;
-/// Cost, relative to the run time, of a server in the rack of the run that is copied, and
-/// of one of its kind: the cause of the delay may be theirs.
-const SAME_RACK_PENALTY: f64 = 1.0;
+/// Cost, relative to the run time, of a server as large as that of the run that is copied:
+/// the cause of the delay may be one of its kind.
 const SAME_KIND_PENALTY: f64 = 0.25;
 
 /// A run that may get a copy, with what the decision needs.
@@ -48,7 +54,7 @@
     run: RunRef,
     server: ServerIx,
     team: Name,
-    spec: Step,
+    graph: Arc<Graph>,
     queue: QueueSettings,
     state: Run,
     times: Times,
@@ -61,6 +67,10 @@
         self.run.task.step
     }
 
+    fn spec(&self) -> &Step {
+        &self.graph.steps[self.step().step as usize]
+    }
+
     /// Decides on a copy that may start after `query`.
     fn decide(&self, load: &Load, query: Duration) -> Decision {
         let times = Times {
@@ -72,25 +82,38 @@
 }
 
 impl Owner {
-    /// Starts copies of late runs.
+    /// Starts copies of late runs, if it is time to examine runs again.
     pub(super) fn start_copies(&mut self, pools: &mut ServerPools, cx: &mut Cx<'_>) {
         // While runs are unknown, the number of a task's runs is too.
-        if cx.settings.max_copy_share <= 0.0 || self.may_have_unknown_runs() {
+        let is_off = cx.settings.max_copy_share <= 0.0 || self.may_have_unknown_runs();
+        if is_off || cx.now() < self.copies.next_at {
             return;
         }
-        let (mut started, mut asked) = (0, 0);
-        for run in self.runs_to_examine() {
+        let runs = self.runs_to_examine();
+        let cpu_share = cx.settings.cpu_share.max(MIN_CPU_SHARE);
+        let interval = (TIME_PER_RUN * runs.len() as u32).div_f64(CPU_PART * cpu_share);
+        let interval = interval.max(MIN_INTERVAL);
+        self.copies.next_at = cx.now() + interval;
+        let mut may_ask = (ASKED_PER_CORE * cpu_share * interval.as_secs_f64()).ceil() as usize;
+        let mut searches = MAX_SEARCHES;
+        let mut rooms = HashMap::new();
+        for run in runs {
             let Some(subject) = self.subject(run, cx) else {
                 continue;
             };
-            if speculation::is_report_due(&subject.state, &subject.times) && asked < MAX_ASKED {
-                asked += usize::from(self.ask_for_progress(subject.server, cx.now()));
+            if may_ask > 0 && speculation::is_report_due(&subject.state, &subject.times) {
+                may_ask -= usize::from(self.ask_for_progress(subject.server, cx.now()));
             }
-            let Some(pool) = pools.get_mut(&subject.queue.service) else {
+            let service = &subject.queue.service;
+            let Some(pool) = pools.get_mut(service).filter(|_| searches > 0) else {
                 continue;
             };
-            if started < MAX_STARTS {
-                started += usize::from(self.consider_copy(&subject, pool, cx));
+            let room = rooms
+                .entry(service.clone())
+                .or_insert_with(|| Room::of(pool));
+            if let Some(copy) = self.worthwhile_copy(&subject, pool, room, cx) {
+                searches -= 1;
+                self.seek_copy(&subject, copy, pool, room, cx);
             }
         }
     }
@@ -144,7 +167,7 @@
             run,
             server,
             team,
-            spec: spec.clone(),
+            graph,
             queue,
             state,
             times,
@@ -264,63 +287,53 @@
         })
     }
 
-    /// Starts a copy, or asks for a ticket for it, if it is worthwhile. Returns true if a
-    /// copy was started.
-    fn consider_copy(&mut self, subject: &Subject, pool: &mut ServerPool, cx: &mut Cx<'_>) -> bool {
-        // Without looking at the pool, most runs are found to be on time.
-        let idle = Load {
-            free: 1.0,
-            contended: !pool.shortages.is_empty(),
-        };
-        if matches!(subject.decide(&idle, Duration::ZERO), Decision::Wait(_)) {
-            return false;
-        }
-        let load = Load {
-            free: free_share(&subject.spec, pool),
-            ..idle
-        };
+    /// A copy that should start now, if there is a server for it.
+    fn worthwhile_copy(
+        &self,
+        subject: &Subject,
+        pool: &ServerPool,
+        room: &Room,
+        cx: &Cx<'_>,
+    ) -> Option<Copy> {
+        let load = room.load(subject.spec(), pool);
         let Decision::Copy(copy) = subject.decide(&load, Duration::ZERO) else {
-            return false;
+            return None;
         };
-        let permitted = self.is_share_left(subject, pool, cx.settings.max_copy_share)
-            && self.is_copy_within_limit(subject.step(), &subject.spec, &subject.team, cx);
-        if !permitted {
-            return false;
-        }
-        match (
-            self.server_for_copy(subject, pool, cx),
-            subject.queue.admission,
-        ) {
-            (Some(server), _) => {
-                self.start_copy(subject, &copy, server, pool, cx);
-                true
-            }
+        let permitted = self.is_share_left(subject, room, cx.settings.max_copy_share)
+            && self.is_copy_within_limit(subject.step(), subject.spec(), &subject.team, cx);
+        permitted.then_some(copy)
+    }
+
+    /// Starts a copy, or asks for a ticket for it.
+    fn seek_copy(
+        &mut self,
+        subject: &Subject,
+        copy: Copy,
+        pool: &mut ServerPool,
+        room: &Room,
+        cx: &mut Cx<'_>,
+    ) {
+        let server = self.server_for_copy(subject, pool, cx);
+        match (server, subject.queue.admission) {
+            (Some(server), _) => self.start_copy(subject, &copy, server, pool, cx),
             (None, Some(admission)) => {
+                let load = room.load(subject.spec(), pool);
                 self.query_for_copy(subject, &load, admission, pool, cx);
-                false
             }
-            (None, None) => false,
+            (None, None) => {}
         }
     }
 
     /// True while the copies of a service and another one take no more than their share.
-    fn is_share_left(&self, subject: &Subject, pool: &ServerPool, share: f64) -> bool {
+    fn is_share_left(&self, subject: &Subject, room: &Room, share: f64) -> bool {
         let service = &subject.queue.service;
-        let copies = self
-            .copies
-            .runs
-            .iter()
-            .filter(|(_, copy)| copy.service == *service);
-        let committed =
-            copies.filter_map(|(run, _)| Some(self.ledger.spec(run.task.step)?.committed()));
-        let taken = committed.fold(subject.spec.committed(), Resources::plus);
-        let capacity = sums(
-            pool.candidates
-                .iter()
-                .map(|(_, candidate)| candidate.capacity),
-        );
+        let copies = self.copies.runs.iter();
+        let committed = copies
+            .filter(|(_, copy)| copy.service == *service)
+            .filter_map(|(run, _)| Some(self.ledger.spec(run.task.step)?.committed()));
+        let taken = committed.fold(subject.spec().committed(), Resources::plus);
         let within = |(taken, capacity): (u32, f64)| f64::from(taken) <= capacity * share;
-        taken.dims().into_iter().zip(capacity).all(within)
+        taken.dims().into_iter().zip(room.capacity).all(within)
     }
 
     /// Backend server for a copy: one with room and, where needed, a ticket, that does not
@@ -331,7 +344,7 @@
         pool: &ServerPool,
         cx: &Cx<'_>,
     ) -> Option<ServerIx> {
-        let (step, spec) = (subject.step(), &subject.spec);
+        let (step, spec) = (subject.step(), subject.spec());
         let candidates = match subject.queue.admission {
             Some(_) => self.permitted_candidates(step, spec, pool, cx),
             None => self.possible_candidates(step, spec, pool),
@@ -355,9 +368,9 @@
             let cost = fit::cost(&spec.committed(), kind, &candidate).filter(|_| usable)?;
             let shares_rack = !original.rack.is_empty() && server.listing.rack == original.rack;
             let same_kind = server.listing.capacity == original.capacity;
-            let penalty = SAME_RACK_PENALTY * f64::from(u8::from(shares_rack))
-                + SAME_KIND_PENALTY * f64::from(u8::from(same_kind));
-            Some((cost + penalty, ix))
+            let caution = fit::caution_cost(&candidate, shares_rack);
+            let penalty = if same_kind { SAME_KIND_PENALTY } else { 0.0 };
+            Some((cost + caution + penalty, ix))
         };
         let best = candidates.into_iter().filter_map(cost);
         best.min_by(|(a, _), (b, _)| a.total_cmp(b))
@@ -378,7 +391,7 @@
         if !self.can_query(step, QUERY_PRIORITY, cx) {
             return;
         }
-        let mut servers = self.servers_to_name(step, &subject.spec, 1, pool);
+        let mut servers = self.servers_to_name(step, subject.spec(), 1, pool);
         servers.retain(|ix| *ix != subject.server && !pool.withheld.contains(ix));
         servers.truncate(SERVERS_PER_QUERY);
         let query = admission.decision_latency(servers.len());
@@ -397,7 +410,7 @@
     ) {
         let task = subject.run.task;
         let plan = vec![(task.index, server)];
-        self.start_plan(task.step, &subject.spec, &plan, pool, cx);
+        self.start_plan(task.step, subject.spec(), &plan, pool, cx);
         let started = self.ledger.task(task).map(|task| task.last_run_number);
         // Its start may have been given up at once, as when its server drains.
         let is_held = |number: &Attempt| self.ledger.runs.contains_key(&task.run(*number));
@@ -426,29 +439,40 @@
     }
 }
 
-fn sums<I>(resources: I) -> [f64; 4]
-where
-    I: Iterator<Item = Resources>,
-{
-    resources.fold([0.0; 4], |mut sum, each| {
-        for (sum, dimension) in sum.iter_mut().zip(each.dims()) {
-            *sum += f64::from(dimension);
+/// Resources of a service that a pass has left, and all of its resources.
+struct Room {
+    free: [f64; Resources::DIMENSIONS],
+    capacity: [f64; Resources::DIMENSIONS],
+}
+
+impl Room {
+    fn of(pool: &ServerPool) -> Self {
+        let mut room = Self {
+            free: [0.0; Resources::DIMENSIONS],
+            capacity: [0.0; Resources::DIMENSIONS],
+        };
+        for (_, candidate) in &pool.candidates {
+            add(&mut room.free, candidate.free);
+            add(&mut room.capacity, candidate.capacity);
+        }
+        room
+    }
+
+    /// Load of the resource that is scarcest among those that a step needs.
+    fn load(&self, spec: &Step, pool: &ServerPool) -> Load {
+        let shares = self.free.iter().zip(self.capacity);
+        let needed = shares.zip(spec.committed().dims());
+        let needed = needed.filter(|(_, each)| *each > 0);
+        let free = needed.map(|((free, capacity), _)| free / capacity.max(1.0));
+        Load {
+            free: free.fold(1.0, f64::min),
+            contended: !pool.shortages.is_empty(),
         }
-        sum
-    })
+    }
 }
 
-/// Free share of the resource that is scarcest among those that a step needs.
-fn free_share(spec: &Step, pool: &ServerPool) -> f64 {
-    let free = sums(pool.candidates.iter().map(|(_, candidate)| candidate.free));
-    let capacity = sums(
-        pool.candidates
-            .iter()
-            .map(|(_, candidate)| candidate.capacity),
-    );
-    let shares = free.into_iter().zip(capacity).zip(spec.committed().dims());
-    let needed = shares.filter(|(_, each)| *each > 0);
-    needed.fold(1.0, |least, ((free, capacity), _)| {
-        least.min(free / capacity.max(1.0))
-    })
+fn add(sum: &mut [f64; Resources::DIMENSIONS], amount: Resources) {
+    for (sum, dimension) in sum.iter_mut().zip(amount.dims()) {
+        *sum += f64::from(dimension);
+    }
 }
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -110,7 +110,7 @@
                         || last_attempt.is_some_and(|failed| failed.contains(&entry.0));
                     let caution = last_attempt.map_or(0.0, |failed| {
                         let failed_in_rack = self.shares_rack_with(entry.0, failed);
-                        fit::last_attempt_cost(&entry.1, failed_in_rack)
+                        fit::caution_cost(&entry.1, failed_in_rack)
                     });
                     Some((fit::cost(&each, kind, &entry.1)? + caution, entry))
                 })
--- a/crates/sched/src/verify.rs
+++ b/crates/sched/src/verify.rs
@@ -21,6 +21,9 @@
     /// A run is missing from its task's list of runs.
     #[error("job {0}: a run is missing from its task's list of runs")]
     RunListMismatch(model::JobId),
+    /// A task that may have copies is not listed as such, or a copy is not one of its runs.
+    #[error("job {0}: its runs and copies are listed inconsistently")]
+    CopyListMismatch(model::JobId),
     /// A planned run has no record on the way, and its start order does not wait to be sent.
     #[error("job {0}: a planned run would never start")]
     StartForgotten(model::JobId),
@@ -33,6 +36,7 @@
         for ix in 0..self.fleet.servers.len() as ServerIx {
             self.verify_server(ix, &mut violations);
         }
+        self.verify_copies(&mut violations);
         for run in self.ledger.runs.keys() {
             let task = self.ledger.task(run.task);
             if !task.is_some_and(|task| task.runs.contains(&run.number)) {
@@ -56,6 +60,24 @@
         violations
     }
 
+    fn verify_copies(&self, violations: &mut Vec<Violation>) {
+        let indexed = &self.ledger.speculative_runs;
+        let is_speculative = |run: &RunRef| {
+            let spec = self.ledger.spec(run.task.step);
+            spec.is_some_and(|spec| spec.speculative)
+        };
+        let wrong = |run: &&RunRef| is_speculative(run) != indexed.contains(run);
+        let unlisted = self.ledger.runs.keys().filter(wrong);
+        let copies = self.copies.runs.keys();
+        let gone = indexed.iter().chain(copies);
+        let gone = gone.filter(|run| !self.ledger.runs.contains_key(run));
+        for run in unlisted.chain(gone) {
+            let job = self.ledger.jobs.get(&run.task.step.job);
+            let id = job.map(|job| job.id.clone()).unwrap_or_default();
+            violations.push(Violation::CopyListMismatch(id));
+        }
+    }
+
     fn verify_server(&self, ix: ServerIx, violations: &mut Vec<Violation>) {
         let server = self.fleet.get(ix);
         let committed = server.runs.iter().filter_map(|run| {
