--- a/crates/standin/examples/graphs.rs
+++ b/crates/standin/examples/graphs.rs
@@ -30,10 +30,10 @@
                 .help("Prints log events, faults and the events of every run"),
         )
         .arg(
-            Arg::new("copies")
-                .long("copies")
-                .action(ArgAction::SetTrue)
-                .help("Half of the jobs permit copies of their tasks, some runs of which are slow"),
+            Arg::new("copy-share")
+                .long("copy-share")
+                .value_parser(value_parser!(f64))
+                .help("Half of the jobs permit copies of their tasks, some runs of which are slow; share of the servers that copies may take, 0 for none"),
         )
         .arg(
             Arg::new("sweep")
@@ -80,14 +80,14 @@
             }
         }
     }
-    let copies = args.get_flag("copies");
+    let copy_share = args.get_one("copy-share").copied();
     if let Some(count) = args.get_one::<u64>("sweep") {
-        return sweep(seed, *count, &faults, copies);
+        return sweep(seed, *count, &faults, copy_share);
     }
     let job_gap = args.get_one::<u64>("job-gap").copied().unwrap_or(125);
     let options = match args.get_one::<usize>("servers") {
         None => SimulationOptions {
-            copies,
+            copy_share,
             ..SimulationOptions::default()
         },
         Some(&servers) => SimulationOptions {
@@ -97,7 +97,7 @@
             verify: false,
             job_partitions: args.get_one("partitions").copied().unwrap_or(6),
             partition_time: Duration::from_millis(6),
-            copies,
+            copy_share,
             burst: args.get_one("burst").map(|factor| Burst {
                 begin: Duration::from_secs(5),
                 end: Duration::from_secs(9),
@@ -137,9 +137,10 @@
 }
 
 /// Runs simulations with the given faults, or with some that are drawn from their seeds.
-/// In those with an even seed, and in all with `copies`, jobs permit copies.
-fn sweep(first: u64, count: u64, given: &[Fault], copies: bool) -> ExitCode {
+/// In those with an even seed, and in all with a `copy_share`, jobs permit copies.
+fn sweep(first: u64, count: u64, given: &[Fault], copy_share: Option<f64>) -> ExitCode {
     let (mut failed, mut started_copies) = (0, 0);
+    let mut times: Vec<Duration> = Vec::new();
     for seed in first..first + count {
         let mut rng = fastrand::Rng::with_seed(seed);
         let faults = match given {
@@ -147,11 +148,12 @@
             given => given.to_vec(),
         };
         let options = SimulationOptions {
-            copies: copies || seed.is_multiple_of(2),
+            copy_share: copy_share.or(seed.is_multiple_of(2).then_some(0.05)),
             ..SimulationOptions::default()
         };
         let report = Simulation::with_options(seed, &faults, options).run();
         started_copies += report.copies;
+        times.extend(report.speculative_job_times);
         if let Some((at, violation)) = report.violations.first() {
             failed += 1;
             println!("seed {seed} {faults:?}: {at:?} {violation}");
@@ -160,6 +162,15 @@
     println!(
         "{count} simulations, {failed} with violated guarantees, {started_copies} copies started"
     );
+    times.sort_unstable();
+    let quantile = |of_100: usize| times.get(times.len() * of_100 / 100).copied();
+    println!(
+        "{} jobs that permit copies: median {:?}, p90 {:?}, p99 {:?} from submission to end",
+        times.len(),
+        quantile(50).unwrap_or_default(),
+        quantile(90).unwrap_or_default(),
+        quantile(99).unwrap_or_default()
+    );
     match failed {
         0 => ExitCode::SUCCESS,
         _ => ExitCode::FAILURE,
--- a/crates/standin/src/graphs/callers.rs
+++ b/crates/standin/src/graphs/callers.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// True if a step permits copies of its tasks.
+    pub(crate) fn permits_copies(&self) -> bool {
+        self.graph.steps.iter().any(|step| step.speculative)
+    }
+
     /// Returns true for the task that crashes each backend server that starts it.
     pub(crate) fn crashes_server(&self, task: &TaskId) -> bool {
         self.crashes_servers && (task.step, task.index) == (0, 0)
--- a/crates/standin/src/graphs/checks.rs
+++ b/crates/standin/src/graphs/checks.rs
@@ -4,7 +4,7 @@
 //! Invariant: a check reads only the state of the simulated backend servers and
 //! clients, never the state of a scheduler.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use model::{Attempt, JobId, Name, Resources, RunKey, RunOutcome, Stage, TaskId};
@@ -139,6 +139,8 @@
     pub(crate) copies: u64,
     /// Jobs of which a task has started, with the time of the first start.
     pub(crate) started_jobs: HashMap<JobId, Duration>,
+    /// When the last task of each completed job ended.
+    pub(crate) completed_jobs: BTreeMap<JobId, Duration>,
     /// When the last run of each task ended.
     ended_at: HashMap<TaskId, Duration>,
     /// When the list of a completed run of a task was first delivered to an
@@ -195,6 +197,10 @@
             RunEvent::Ended(run, end) => {
                 self.ended_at.insert(run.task.clone(), moment.now);
                 self.record_end(run, *end, jobs);
+                let id = &run.task.job;
+                if jobs.get(id).is_some_and(|job| self.completes(job)) {
+                    self.completed_jobs.entry(id.clone()).or_insert(moment.now);
+                }
             }
             RunEvent::Acknowledged(run, end) => self.record_acknowledgement(run, *end, violations),
         }
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -92,9 +92,10 @@
     pub partition_time: Duration,
     /// Period with more submissions than usual, if any.
     pub burst: Option<Burst>,
-    /// Half of the jobs without gangs and long-running tasks permit copies, and every
-    /// fourth run of their tasks is slow.
-    pub copies: bool,
+    /// If set, half of the jobs without gangs and long-running tasks permit copies, and
+    /// every fourth run of their tasks is slow. The value is the share of the service that
+    /// copies may take.
+    pub copy_share: Option<f64>,
 }
 
 /// A period in which clients submit more jobs.
@@ -118,7 +119,7 @@
             job_partitions: 3,
             partition_time: Duration::ZERO,
             burst: None,
-            copies: false,
+            copy_share: None,
         }
     }
 }
@@ -202,6 +203,9 @@
     /// Time of submission of each accepted job, with the time from then until its
     /// first task started, or until the end of the simulation.
     pub start_delays: Vec<(Duration, Duration)>,
+    /// Times from the submission to the end of the last task of the completed jobs whose
+    /// steps permit copies.
+    pub speculative_job_times: Vec<Duration>,
 }
 
 /// A simulation of entry VMs, a table service, backend servers and clients.
@@ -250,7 +254,7 @@
     options: SimulationOptions,
 }
 
-fn settings(vm: usize, process: u64, job_partitions: u32) -> Settings {
+fn settings(vm: usize, process: u64, options: &SimulationOptions) -> Settings {
     Settings {
         name: format_compact!("vm-{vm}"),
         process,
@@ -258,8 +262,8 @@
         // The first VM has less CPU, so that it hands ownership over to others.
         cpu_share: if vm == 0 { 0.1 } else { 0.25 },
         remote_factor: 2.0,
-        max_copy_share: 0.05,
-        job_partitions,
+        max_copy_share: options.copy_share.unwrap_or(0.0),
+        job_partitions: options.job_partitions,
         timing: Timing::default(),
     }
 }
@@ -405,11 +409,7 @@
             unix: self.now,
         };
         Vm {
-            node: Node::new(
-                settings(vm, id, self.options.job_partitions),
-                self.rng.u64(..),
-                time,
-            ),
+            node: Node::new(settings(vm, id, &self.options), self.rng.u64(..), time),
             process,
             up: true,
             suspended: false,
@@ -470,6 +470,12 @@
             let delay = started_at.unwrap_or(end).saturating_sub(job.submitted_at);
             (job.submitted_at, delay)
         };
+        let ended = self.checker.completed_jobs.iter();
+        let times = ended.filter_map(|(id, at)| {
+            let job = self.jobs.get(id).filter(|job| job.permits_copies())?;
+            Some(at.saturating_sub(job.submitted_at))
+        });
+        self.report.speculative_job_times = times.collect();
         self.report.start_delays = accepted.map(delay).collect();
         self.report
     }
--- a/crates/standin/src/graphs/world/calling.rs
+++ b/crates/standin/src/graphs/world/calling.rs
@@ -24,7 +24,7 @@
         let mut job = ClientJob::new(n, self.now, &mut self.rng);
         job.crashes_servers =
             self.is_fault_active(Fault::CrashingTasks) && n.is_multiple_of(CRASHING_JOB_DIVISOR);
-        if self.options.copies && n.is_multiple_of(2) {
+        if self.options.copy_share.is_some() && n.is_multiple_of(2) {
             job.permit_copies();
         }
         let id = job.id.clone();
--- a/crates/standin/tests/graphs.rs
+++ b/crates/standin/tests/graphs.rs
@@ -29,7 +29,7 @@
 /// Runs a simulation in which half of the jobs permit copies of their tasks.
 fn run_with_copies(seed: u64, faults: &[Fault]) -> Report {
     let options = SimulationOptions {
-        copies: true,
+        copy_share: Some(0.05),
         ..SimulationOptions::default()
     };
     Simulation::with_options(seed, faults, options).run()
--- a/crates/standin/tests/overload.rs
+++ b/crates/standin/tests/overload.rs
@@ -23,7 +23,7 @@
         verify: false,
         job_partitions,
         partition_time,
-        copies: false,
+        copy_share: None,
         burst: Some(Burst {
             begin: Duration::from_secs(4),
             end: BURST_END,
