--- a/crates/policy/src/fit.rs
+++ b/crates/policy/src/fit.rs
@@ -56,6 +56,27 @@
 /// idle one whose relative run time is higher by this value.
 const LOAD_WEIGHT: f64 = 0.5;
 
+/// Cost, for a run that must not fail, of a backend server that has failed tasks since one
+/// last completed. It outweighs run time, load and distance.
+const DOUBT_PENALTY: f64 = 20.0;
+/// The same for a rack in which the task has failed before, or is late.
+const SHARED_RACK_PENALTY: f64 = 5.0;
+/// Weight of the run time of such a run in addition to its usual one: a slow server is
+/// often one that is failing.
+const CAUTIOUS_RUNTIME_WEIGHT: f64 = 2.0;
+
+/// What a task's last permitted attempt, or a copy of a late run, costs on a candidate in
+/// addition to `cost`, so that it goes to the backend server that is most likely to end
+/// it. `shares_rack` is true if the task has failed, or is late, in the candidate's rack.
+#[must_use]
+pub fn caution_cost(candidate: &Candidate, shares_rack: bool) -> f64 {
+    let doubtful = candidate.suspected || candidate.on_probation;
+    let weight = |applies: bool, cost: f64| if applies { cost } else { 0.0 };
+    weight(doubtful, DOUBT_PENALTY)
+        + weight(shares_rack, SHARED_RACK_PENALTY)
+        + CAUTIOUS_RUNTIME_WEIGHT * candidate.relative_runtime
+}
+
 /// Cost of running a task on a candidate, lower is better; `None` if the task
 /// does not fit.
 #[must_use]
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -92,6 +92,10 @@
     pub partition_time: Duration,
     /// Period with more submissions than usual, if any.
     pub burst: Option<Burst>,
+    /// If set, half of the jobs without gangs and long-running tasks permit copies, and
+    /// every fourth run of their tasks is slow. The value is the share of the service that
+    /// copies may take.
+    pub copy_share: Option<f64>,
 }
 
 /// A period in which clients submit more jobs.
@@ -115,6 +119,7 @@
             job_partitions: 3,
             partition_time: Duration::ZERO,
             burst: None,
+            copy_share: None,
         }
     }
 }
@@ -187,6 +192,8 @@
     pub completed: u32,
     /// Number of runs started on backend servers.
     pub starts: u64,
+    /// Number of those of tasks that were running.
+    pub copies: u64,
     /// Longest simulated time during which no running VM was the owner.
     pub max_ownerless: Duration,
     /// Total wall-clock time that the owner took to process events.
@@ -196,6 +203,9 @@
     /// Time of submission of each accepted job, with the time from then until its
     /// first task started, or until the end of the simulation.
     pub start_delays: Vec<(Duration, Duration)>,
+    /// Times from the submission to the end of the last task of the completed jobs whose
+    /// steps permit copies.
+    pub speculative_job_times: Vec<Duration>,
 }
 
 /// A simulation of entry VMs, a table service, backend servers and clients.
@@ -244,7 +254,7 @@
     options: SimulationOptions,
 }
 
-fn settings(vm: usize, process: u64, job_partitions: u32) -> Settings {
+fn settings(vm: usize, process: u64, options: &SimulationOptions) -> Settings {
     Settings {
         name: format_compact!("vm-{vm}"),
         process,
@@ -252,7 +262,8 @@
         // The first VM has less CPU, so that it hands ownership over to others.
         cpu_share: if vm == 0 { 0.1 } else { 0.25 },
         remote_factor: 2.0,
-        job_partitions,
+        max_copy_share: options.copy_share.unwrap_or(0.0),
+        job_partitions: options.job_partitions,
         timing: Timing::default(),
     }
 }
@@ -398,11 +409,7 @@
             unix: self.now,
         };
         Vm {
-            node: Node::new(
-                settings(vm, id, self.options.job_partitions),
-                self.rng.u64(..),
-                time,
-            ),
+            node: Node::new(settings(vm, id, &self.options), self.rng.u64(..), time),
             process,
             up: true,
             suspended: false,
@@ -455,6 +462,7 @@
         let completed = |job: &&ClientJob| job.reported_stage == Some(Stage::Completed);
         self.report.completed = self.jobs.values().filter(completed).count() as u32;
         self.report.starts = self.checker.starts;
+        self.report.copies = self.checker.copies;
         let jobs = self.jobs.values();
         let accepted = jobs.filter(|job| job.accepted_at.is_some());
         let delay = |job: &ClientJob| {
@@ -462,6 +470,12 @@
             let delay = started_at.unwrap_or(end).saturating_sub(job.submitted_at);
             (job.submitted_at, delay)
         };
+        let ended = self.checker.completed_jobs.iter();
+        let times = ended.filter_map(|(id, at)| {
+            let job = self.jobs.get(id).filter(|job| job.permits_copies())?;
+            Some(at.saturating_sub(job.submitted_at))
+        });
+        self.report.speculative_job_times = times.collect();
         self.report.start_delays = accepted.map(delay).collect();
         self.report
     }
