Start copies for silent servers apart, give up tasks of untrusted records

All copies of what ran on a crashed server went to the same other server, so a task that crashes servers took the others with it again. And a task with three recorded losses neither started nor was given up when the records turned out to be incomplete after it was restored (also without copies).

Change: a copy for a silent server starts on a settled server, which takes no other start during the probation of a suspect. Inherited jobs get no copies while records may lack losses. Once records count as incomplete, the limit that then applies is checked for all restored tasks.

--- a/crates/sched/src/losses.rs
+++ b/crates/sched/src/losses.rs
@@ -12,11 +12,11 @@
 
 use std::time::Duration;
 
-use model::Attempt;
+use model::{Attempt, StepIndex, TaskIndex};
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::{ServerIx, ServerState};
-use crate::ledger::{Placement, RunRef, RunState, TaskRef};
+use crate::ledger::{Placement, RunRef, RunState, StepRef, TaskRef};
 use crate::notice::Notice;
 use crate::owner::{Cx, Owner};
 
@@ -329,6 +329,29 @@
         }
     }
 
+    /// Gives up the tasks of inherited jobs whose recorded losses exceed the limit that
+    /// applies once the records turn out to lack some. Those tasks do not start, and nothing
+    /// else decides about them.
+    pub(crate) fn give_up_inherited_tasks(&mut self, cx: &mut Cx<'_>) {
+        let mut given_up = Vec::new();
+        for (&job, entry) in self.ledger.jobs.iter().filter(|(_, job)| job.inherited) {
+            for (&occurrence, steps) in &entry.occurrences {
+                for (step, state) in steps.iter().enumerate() {
+                    let step = StepRef {
+                        job,
+                        occurrence,
+                        step: step as StepIndex,
+                    };
+                    let tasks = state.tasks.iter().enumerate();
+                    let lost = tasks.filter(|(_, task)| !task.done && !task.losses.is_empty());
+                    given_up.extend(lost.map(|(index, _)| step.task(index as TaskIndex)));
+                }
+            }
+        }
+        given_up.retain(|holder| self.exceeds_limit(*holder, self.undecided_losses(*holder, cx)));
+        self.give_up_tasks(given_up, cx);
+    }
+
     /// Ends the jobs of tasks that crash their backend servers.
     pub(crate) fn give_up_tasks(&mut self, tasks: Vec<TaskRef>, cx: &mut Cx<'_>) {
         for task in tasks {
--- a/crates/sched/src/place/copies.rs
+++ b/crates/sched/src/place/copies.rs
@@ -12,7 +12,7 @@
 
 use model::{Attempt, Graph, Name, Resources, Step};
 use policy::fit::{self, Candidate, TaskKind};
-use policy::speculation::{self, Contact, Copy, Decision, Load, Report, Run, Stakes, Times};
+use policy::speculation::{self, Cause, Contact, Copy, Decision, Load, Report, Run, Stakes, Times};
 
 use crate::config::AdmissionPolicy;
 use crate::copies::CopyRun;
@@ -149,7 +149,8 @@
             || spec.gang
             || spec.long_running
             // It may be what crashes its backend servers.
-            || !task.losses.is_empty();
+            || !task.losses.is_empty()
+            || (job.inherited && self.recovery.lacks_records());
         if task.runs.len() > 1 {
             self.note_inherited_copy(run, cx);
             return None;
@@ -313,7 +314,7 @@
         room: &Room,
         cx: &mut Cx<'_>,
     ) {
-        let server = self.server_for_copy(subject, pool, cx);
+        let server = self.server_for_copy(subject, &copy, pool, cx);
         match (server, subject.queue.admission) {
             (Some(server), _) => self.start_copy(subject, &copy, server, pool, cx),
             (None, Some(admission)) => {
@@ -337,10 +338,12 @@
     }
 
     /// Backend server for a copy: one with room and, where needed, a ticket, that does not
-    /// run the task; preferably of another rack and kind.
+    /// run the task; preferably of another rack and kind. The task may be what silenced its
+    /// server, so such a copy starts apart from other starts, like that of a suspect.
     fn server_for_copy(
         &self,
         subject: &Subject,
+        copy: &Copy,
         pool: &ServerPool,
         cx: &Cx<'_>,
     ) -> Option<ServerIx> {
@@ -360,6 +363,7 @@
             let usable = server.listing.id != original.id
                 && !pool.withheld.contains(&ix)
                 && !self.is_silent(ix, cx.now())
+                && (copy.cause != Cause::Silent || self.is_settled(ix, cx.now()))
                 && self.step_runs_on(ix, step) < max_per_server;
             let candidate = Candidate {
                 failed_before: self.is_avoided(subject.run.task, ix),
@@ -417,6 +421,10 @@
         let Some(number) = started.filter(is_held) else {
             return;
         };
+        if copy.cause == Cause::Silent {
+            self.fleet.get_mut(server).suspect = Some(task.run(number));
+            pool.allocate(server, Resources::UNLIMITED);
+        }
         let entry = CopyRun {
             service: subject.queue.service.clone(),
             cause: Some(copy.cause),
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -707,6 +707,9 @@
         let recent = silence.is_none_or(|silence| silence < cx.settings.timing.record_trust_window);
         let trusted = recent || self.recovery.released_recorded;
         self.recovery.records_trusted = Some(trusted);
+        if !trusted {
+            self.give_up_inherited_tasks(cx);
+        }
         self.place_due = true;
         self.mark_inherited_terminal_jobs();
     }
