Copy runs that their servers make slow, and count one cause of failure once

Change: the time that a run's progress implies is corrected by the learned slowness of its server before a copy is weighed; a failure stops the other run if its failure would be the last one.

--- a/crates/policy/src/speculation.rs
+++ b/crates/policy/src/speculation.rs
@@ -7,9 +7,10 @@
 //!
 //! A copy is worth its capacity if the running attempt will make the job miss its
 //! objective, and a fresh run started now would not. The remaining time of the attempt is
-//! extrapolated from the part of the work that its server reports as done. Whether a task
-//! is slow for a cause of its own shows only in the outcomes: a copy is then as slow and
-//! never ends first, so copies for images whose copies never win cease.
+//! extrapolated from the part of the work that its server reports as done. A task may be
+//! slow for a cause of its own, and its copy is then as slow; so its rate of progress counts
+//! against the server only as far as other tasks are slow there too. Copies for images
+//! whose copies never win cease.
 //!
 //! Invariant: no copy is proposed while other steps wait for room, or for an attempt that
 //! is expected to end before a fresh run would.
@@ -91,7 +92,7 @@
 }
 
 /// A run in progress.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Run {
     /// Time since it was ordered to start.
     pub elapsed: Duration,
@@ -99,6 +100,20 @@
     pub report: Option<Report>,
     /// Whether its backend server answers.
     pub contact: Contact,
+    /// Run time of tasks on its backend server relative to the mean of their image.
+    pub slowness: f64,
+}
+
+impl Run {
+    /// Time that the whole task would take on a backend server of usual speed, as far as
+    /// its progress tells.
+    fn own_time(&self) -> Duration {
+        let progress = self.report.filter(|report| report.percent > 0);
+        let whole = progress.map_or(Duration::ZERO, |report| {
+            scaled(report.at, 100.0 / f64::from(report.percent))
+        });
+        scaled(whole, 1.0 / self.slowness.max(1.0))
+    }
 }
 
 /// Run times of the image.
@@ -272,7 +287,11 @@
         (_, Some(rate)) => rate,
         (_, None) => return Decision::Wait(Hold::NeverWins),
     };
-    let fresh = times.fresh();
+    // A run that stands still shows no rate.
+    let fresh = match copy.cause {
+        Cause::Slow => times.fresh().max(run.own_time() + times.before_start),
+        Cause::Silent | Cause::Stalled | Cause::Overdue => times.fresh(),
+    };
     let ratio = match times.spread {
         Some(_) => MIN_RATIO.0,
         None => MIN_RATIO.1,
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -219,7 +219,25 @@
                 self.log_attempts_used(holder, failures, cx);
                 self.finish_job(holder.step.job, Stage::Failed, cx);
             }
-            false => self.stop_gang(run, cx),
+            false if self.ledger.spec(holder.step).is_some_and(|spec| spec.gang) => {
+                self.stop_gang(run, cx);
+            }
+            false => self.stop_doubtful_runs(holder, failures, cx),
+        }
+    }
+
+    /// Stops the other runs of a task if their failure would be its last: they were started
+    /// before the cause of the failure was known and are likely to share it. A stopped run
+    /// is no attempt.
+    fn stop_doubtful_runs(&mut self, task: TaskRef, failures: u32, cx: &mut Cx<'_>) {
+        let job = self.ledger.jobs.get(&task.step.job);
+        let attempts = job.map_or(0, |job| job.max_attempts(cx.config));
+        let runs = self.ledger.task(task).map(|entry| entry.runs.clone());
+        for number in runs
+            .filter(|_| failures + 1 >= attempts)
+            .unwrap_or_default()
+        {
+            self.stop_run(task.run(number), "another run of the task failed", cx);
         }
     }
 
--- a/crates/sched/src/place/copies.rs
+++ b/crates/sched/src/place/copies.rs
@@ -220,6 +220,7 @@
         Some(Run {
             elapsed: since(cx.now()),
             report,
+            slowness: self.fleet.get(placed.server).relative_runtime(cx.now()),
             contact: match lost || self.is_silent(placed.server, cx.now()) {
                 true => self.silent_contact(placed.server, cx),
                 false => Contact::Answers,
--- a/crates/sched/tests/owner/copies.rs
+++ b/crates/sched/tests/owner/copies.rs
@@ -414,3 +414,32 @@
     let ids = format!("{},{},{}", servers[0], servers[1], servers[2]);
     assert_eq!(causes, Some(("0.0.0".into(), 3, ids.into())));
 }
+
+/// A configuration under which tasks have two attempts.
+fn two_attempts() -> Config {
+    let queues = config().queues.into_iter().map(|queue| sched::Queue {
+        max_attempts: 2,
+        ..queue
+    });
+    Config::new(2, queues.collect(), config().services, config().teams)
+}
+
+/// Guards against a job that fails because a task and its copy fail for one cause: the copy
+/// was started before the failure was known, and used up the last attempt.
+#[test]
+fn a_failure_stops_the_copy_that_would_use_up_the_last_attempt() {
+    let mut owner = owner_of(4);
+    let requested_at = owner.now;
+    owner.deliver(Event::Config {
+        config: Box::new(two_attempts()),
+        requested_at,
+    });
+    let (mut harness, first, _) = owner_with_copy(owner);
+
+    end(&mut harness, &first, RunOutcome::Failed);
+    harness.advance(MAX_DELAY);
+
+    assert_eq!(stages(&harness), []);
+    assert_eq!(running(&harness).len(), 1, "{:?}", harness.notices);
+    assert_eq!(harness.placements.len(), 3);
+}
