--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -42,6 +42,8 @@
 pub struct HttpRequest {
     /// Path of the request URI, without the query.
     pub path: String,
+    /// Query of the request URI, as received; empty if there is none.
+    pub query: String,
     /// Header fields as received.
     pub headers: HeaderMap,
     /// Request body, read in full before the handler is called.
@@ -143,6 +145,7 @@
     faults.traffic_bytes.fetch_add(size, Ordering::Relaxed);
     let response = handler(HttpRequest {
         path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
         headers: parts.headers,
         body,
     })
