Bound what clients may make a process hold

Cause: nothing bounded the connections, the bytes held for requests, or the time for a body, and a body of 262,144 bytes could be decoded into 87,000 steps.

Closed and refused connections are event 420 and a metric.

--- a/crates/daemon/tests/hostile_clients/process.rs
+++ b/crates/daemon/tests/hostile_clients/process.rs
@@ -110,9 +110,6 @@
     format!("limits:\n  memory_mb: {memory_mb}\n  descriptors: {descriptors}\n")
 }
 
-/// True if the settings have a section with the limits.
-const SETTINGS_STATE_LIMITS: bool = false;
-
 impl Platform {
     /// Starts the program at `program` with a table service of its own, and waits until
     /// it answers an ordinary submission.
@@ -132,9 +129,7 @@
              policy: \"\"\ngrace_s: 6\nlease_max_ms: 4000\nrevoke_ms: 5000\nearly_ms: 250\n\
              keep_state_s: 120\nremote_factor: 2\ncpu_share: 0.5\n"
         );
-        if SETTINGS_STATE_LIMITS {
-            text.push_str(&limits_section(limits));
-        }
+        text.push_str(&limits_section(limits));
         let mut settings = tempfile::NamedTempFile::new().expect("settings file");
         settings.write_all(text.as_bytes()).expect("settings file");
         let child = Command::new(program)
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -285,6 +285,12 @@
         tail_ms: u64,
         target_ms: u64,
     },
+    /// Connections of clients were closed or refused by a limit.
+    ClientsClosed {
+        interface: Name,
+        cause: Name,
+        connections: u64,
+    },
 }
 
 impl Notice {
@@ -340,6 +346,7 @@
             Self::LayoutUnusable { .. } => 382,
             Self::RowsDivided { .. } => 383,
             Self::Paced { .. } => 390,
+            Self::ClientsClosed { .. } => 420,
         }
     }
 
