Bound jobs by the size of their rows, and the occurrences open at once

Cause: a job of 15,000 tasks was accepted, its state row exceeded the 65,536 bytes of a row, and its writes held up all others. The submission row of a job with long names had no bound either. An owner created the states of all due occurrences of a job in one pass, a million if the job said so. Due times could overflow.

Change: `Graph::verify` refuses, as a typed error, jobs whose submission or state may not fit in a row (1,460 tasks of a step, 9,200 occurrences of one task), names over 512 bytes and times over ten years. The owner creates as many occurrences as fit in the row, at most 64 open ones, and the others in order when these are done.

--- a/crates/model/src/graph.rs
+++ b/crates/model/src/graph.rs
@@ -3,12 +3,16 @@
 //! Invariant: in a graph that `verify` accepts, each step depends on earlier
 //! steps only, so the graph is acyclic.
 
+pub(crate) mod size;
+
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::{Attempt, JobId, Name, Resources, TaskIndex};
 
+pub use size::MAX_ROW_BYTES;
+
 /// Index of a step within its graph.
 pub type StepIndex = u32;
 /// Zero-based occurrence of a recurring job; zero for a job that runs once.
@@ -20,6 +24,10 @@
 pub const MAX_GRAPH_TASKS: u32 = 16_384;
 /// Maximum size of a payload in bytes.
 pub const MAX_PAYLOAD_BYTES: usize = 4_000;
+/// Maximum size of the name of an image, label or rack in bytes.
+pub const MAX_NAME_BYTES: usize = 512;
+/// Longest time that a job may state, ten years: times are added to clocks.
+pub const MAX_TIME: Duration = Duration::from_secs(10 * 365 * 86_400);
 
 /// A step: a set of tasks with the same requirements.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -78,6 +86,16 @@
             false => self.each,
         }
     }
+
+    fn has_long_name(&self) -> bool {
+        let names = [
+            Some(&self.image),
+            self.label.as_ref(),
+            self.data_rack.as_ref(),
+        ];
+        let mut names = names.into_iter().flatten();
+        names.any(|name| name.len() > MAX_NAME_BYTES)
+    }
 }
 
 /// Schedule of a recurring job.
@@ -95,7 +113,8 @@
     /// Returns the due time of an occurrence, since the Unix epoch.
     #[must_use]
     pub fn due(&self, occurrence: Occurrence) -> Duration {
-        self.first + self.every * occurrence
+        self.first
+            .saturating_add(self.every.saturating_mul(occurrence))
     }
 }
 
@@ -125,6 +144,15 @@
     /// The payload is too long.
     #[error("the payload is longer than {MAX_PAYLOAD_BYTES} bytes")]
     Payload,
+    /// The name of an image, label or rack is too long.
+    #[error("a name is longer than {MAX_NAME_BYTES} bytes")]
+    Name,
+    /// A declared run time, latency target or interval is too long.
+    #[error("a time is longer than ten years")]
+    Time,
+    /// The job's submission or state may not fit in a row of the table service.
+    #[error("the job has too many tasks, occurrences or texts for a row of {MAX_ROW_BYTES} bytes")]
+    Row,
 }
 
 impl Graph {
@@ -145,10 +173,21 @@
             () if has_empty_step || tasks > MAX_GRAPH_TASKS => Err(GraphError::Tasks),
             () if steps.iter().enumerate().any(depends_on_later) => Err(GraphError::Order),
             () if self.payload.len() > MAX_PAYLOAD_BYTES => Err(GraphError::Payload),
+            () if steps.iter().any(Step::has_long_name) => Err(GraphError::Name),
+            () if self.longest_time() > MAX_TIME => Err(GraphError::Time),
+            () if !self.rows_fit() => Err(GraphError::Row),
             () => Ok(()),
         }
     }
 
+    /// The longest time that the job states, without the date of its first occurrence.
+    fn longest_time(&self) -> Duration {
+        let steps = self.steps.iter();
+        let times = steps.flat_map(|step| [Some(step.estimate), step.latency_target]);
+        let every = self.recurrence.map(|recurrence| recurrence.every);
+        times.chain([every]).flatten().max().unwrap_or_default()
+    }
+
     /// Returns the number of occurrences; one for a job that runs once.
     #[must_use]
     pub fn occurrences(&self) -> u32 {
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -150,7 +150,8 @@
         runs.filter(unanswered).count()
     }
 
-    /// Creates the step states of occurrences that are due.
+    /// Creates the step states of occurrences that are due. A job has a bounded number of
+    /// open ones at once; the others follow, in order, when these are completed.
     fn create_due_occurrences(&mut self, cx: &Cx<'_>) {
         let early = cx.settings.timing.early_start;
         for job in self.ledger.jobs.values_mut() {
@@ -160,12 +161,19 @@
             // Occurrences are created in order, but restoring after a takeover can
             // leave gaps.
             let created = job.occurrences.len() as u32;
+            if created == job.graph.occurrences() {
+                continue;
+            }
             let next = (0..created).find(|n| !job.occurrences.contains_key(n));
+            let is_open = |steps: &&Vec<StepState>| !steps.iter().all(StepState::is_done);
+            let open = job.occurrences.values().filter(is_open).count() as u32;
+            let mut room = job.graph.max_open_occurrences().saturating_sub(open);
             for occurrence in next.unwrap_or(created)..job.graph.occurrences() {
                 let due = job.graph.recurrence.map(|r| r.due(occurrence));
-                if due.is_some_and(|due| cx.time.unix + early < due) {
+                if due.is_some_and(|due| cx.time.unix + early < due) || room == 0 {
                     break;
                 }
+                room -= u32::from(!job.occurrences.contains_key(&occurrence));
                 job.create_occurrence(occurrence);
             }
         }
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -9,6 +9,7 @@
 mod health;
 mod incarnations;
 mod losses;
+mod occurrences;
 mod room;
 mod roster;
 mod rows;
