Bound heads and pauses on the product's own servers

Cause: salvo's defaults let each connection hold 400 kB of a head, and set no limit on a pause in a body or on an answer that nobody reads.

Change: buffers of 16,384 bytes, 10 s for a pause in a body, 10 s for an answer of which nothing is taken.

No crowd was played against these servers.

--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -9,6 +9,7 @@
 use control::{ApiRequest, Reply};
 use model::Hash;
 use salvo::conn::rustls::{Keycert, RustlsConfig};
+use salvo::fuse::FuseConfig;
 use salvo::oapi::OpenApi;
 use salvo::prelude::*;
 use salvo::server::ServerHandle;
@@ -24,6 +25,14 @@
 /// Time limit after which a stopping server closes its open connections.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Size of the buffers for what is read and for what is written on a connection, and
+/// the maximum size of a head. The library's default is 400 kB.
+const BUFFER_BYTES: usize = 16_384;
+/// Longest pause in a request body.
+const BODY_PAUSE: Duration = Duration::from_secs(10);
+/// Time after which a connection is closed whose peer takes nothing of an answer.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// State shared by the handlers.
 #[derive(Clone)]
 pub(crate) struct App {
@@ -148,6 +157,11 @@
 where
     A: salvo::conn::Acceptor + Send + 'static,
 {
+    let timeouts = FuseConfig::default()
+        .with_request_body_timeout(BODY_PAUSE)
+        .with_write_stall_timeout(UNREAD_TIMEOUT);
+    let mut server = server.fuse_config(timeouts);
+    server.http1_mut().max_buf_size(BUFFER_BYTES);
     let handle = server.handle();
     tokio::spawn(async move { server.serve(Service::new(router)).await });
     handle
