--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -342,6 +342,12 @@
         tail_ms: u64,
         target_ms: u64,
     },
+    /// Connections of clients were closed or refused by a limit.
+    ClientsClosed {
+        interface: Name,
+        cause: Name,
+        connections: u64,
+    },
 }
 
 impl Notice {
@@ -405,6 +411,7 @@
             Self::CopyLost { .. } => 412,
             Self::CopiesCeased { .. } => 413,
             Self::AttemptsUsed { .. } => 414,
+            Self::ClientsClosed { .. } => 420,
         }
     }
 
