Evacuate and restore data centres on the product's own interface

Cause: an operator could not ask that nothing more is sent to a data centre.

Change: the configuration has the evacuated data centres; 'greengagemast evacuate', 'restore' and 'evacuations' change and show them. The owner of an evacuated data centre places nothing, withdraws starts that no worker confirmed and refuses queued requests as not run; gateways route requests and jobs elsewhere. With times.evacuation_proof an owner that can't confirm the configuration starts nothing.

The schedules' check for unknown outcomes under planned stops does not apply once a process was killed, which a schedule with no faults but an evacuation can now do.

--- a/crates/control/src/allotment.rs
+++ b/crates/control/src/allotment.rs
@@ -69,6 +69,22 @@
         found.map(|(_, shortfall)| *shortfall)
     }
 
+    /// Returns what the first shortfall of task resources and the first shortfall
+    /// of slots request from `data_centre`; nothing of a shortfall of its own.
+    /// Tasks and requests are separate work, so requests for slots do not wait
+    /// behind a shortfall that only the end of tasks can meet.
+    fn owed_by(&self, data_centre: &Name) -> Resources {
+        let first = |part: fn(&Resources) -> Resources| {
+            let mut parts = self.shortfalls.iter().map(|(dc, s)| (dc, part(s)));
+            let found = parts.find(|(_, part)| !part.is_zero());
+            found
+                .filter(|(dc, _)| *dc != data_centre)
+                .map(|(_, part)| part)
+        };
+        let tasks = first(without_slots).unwrap_or_default();
+        tasks.plus(first(slots_only).unwrap_or_default())
+    }
+
     /// Appends, updates in place or removes the shortfall of a data centre.
     fn set_shortfall(&mut self, data_centre: &Name, shortfall: Option<Resources>) {
         let index = self.shortfalls.iter().position(|(dc, _)| dc == data_centre);
@@ -83,6 +99,14 @@
     }
 }
 
+fn slots_only(resources: &Resources) -> Resources {
+    Resources::of(0, 0, 0, resources.slots)
+}
+
+fn without_slots(resources: &Resources) -> Resources {
+    resources.minus(slots_only(resources))
+}
+
 impl Node {
     /// Returns the resources that a team may currently use in this data centre.
     pub(crate) fn allotment_of(&self, team: &Name) -> Resources {
@@ -185,6 +209,10 @@
         }
         let here = self.owner.data_centre.clone();
         let now = self.now;
+        if self.is_evacuated(&here) {
+            // Other data centres that ask get what running work leaves.
+            need = Resources::ZERO;
+        }
         let entry = self
             .owner
             .allotments
@@ -198,19 +226,28 @@
         let others = entry.row.parts.iter().filter(|(dc, _)| **dc != here);
         let others = others.fold(Resources::ZERO, |sum, (_, p)| sum.plus(*p));
         let room = limit.minus(others);
-        let first = entry.row.shortfalls.first().filter(|(dc, _)| *dc != here);
-        let target = match first {
-            Some((_, shortfall)) => part.min(room).minus((*shortfall).min(part.minus(used))),
-            None if need.is_zero() => part.min(room),
-            None => {
-                let ahead = need
-                    .times(LOOKAHEAD_TASKS)
-                    .min(limit.divided_by(LOOKAHEAD_DIVISOR));
-                used.plus(need).plus(ahead).max(part).min(room)
+        let owed = entry.row.owed_by(&here);
+        let target_of = |select: fn(&Resources) -> Resources| {
+            let (owed, need) = (select(&owed), select(&need));
+            let (part, room, used) = (select(&part), select(&room), select(&used));
+            if !owed.is_zero() {
+                return part.min(room).minus(owed.min(part.minus(used)));
             }
+            if need.is_zero() {
+                return part.min(room);
+            }
+            let ahead = need
+                .times(LOOKAHEAD_TASKS)
+                .min(limit.divided_by(LOOKAHEAD_DIVISOR));
+            used.plus(need).plus(ahead).max(part).min(room)
+        };
+        let target = target_of(without_slots).plus(target_of(slots_only));
+        let unmet = |select: fn(&Resources) -> Resources| match select(&used.plus(need)) {
+            wanted if wanted.fits(&select(&target)) => Resources::ZERO,
+            _ => select(&need),
         };
-        let enough = used.plus(need).fits(&target);
-        let shortfall = (!need.is_zero() && !enough).then_some(need);
+        let unmet = unmet(without_slots).plus(unmet(slots_only));
+        let shortfall = (!unmet.is_zero()).then_some(unmet);
         if target == part && shortfall == entry.row.shortfall_of(&here) && !entry.outcome_unknown {
             return;
         }
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -197,6 +197,7 @@
             return;
         };
         let confirmed_by_store = self.confirmed_by_store();
+        let may_start = self.may_start();
         let worker = &mut self.owner.workers[index];
         let mut call = WorkerCall {
             epoch: self.owner.record.epoch,
@@ -204,11 +205,21 @@
             ..WorkerCall::default()
         };
         worker.next_call_at = self.now + RETRY_DELAY;
+        let starts = match kind {
+            CallKind::Order => worker.starts.len(),
+            CallKind::Survey | CallKind::Watch => 0,
+        };
         match kind {
             CallKind::Survey => worker.call_in_flight = true,
             CallKind::Order => {
                 worker.call_in_flight = true;
-                call.starts = worker.starts.clone();
+                // While nothing may start, the call carries no starts but is
+                // counted as if it did: the queued starts end with its report,
+                // which shows those that an earlier call started. The worker
+                // rejects earlier calls that arrive after this one.
+                if may_start {
+                    call.starts = worker.starts.clone();
+                }
                 call.stops = worker.stops.clone();
                 call.acks = worker.acks.clone();
             }
@@ -236,7 +247,7 @@
             epoch: self.owner.record.epoch,
             sent_at: self.now,
             kind,
-            starts: call.starts.len(),
+            starts,
             stops: call.stops.len(),
             acks: call.acks.len(),
         };
@@ -351,10 +362,11 @@
         let oldest = self
             .now
             .saturating_sub(self.settings.timing.in_service_max_age);
+        let may_start = self.may_start();
         let worker = &self.owner.workers[index];
         let state = match worker {
             w if !w.claimed => return,
-            w if w.in_service_since(oldest) && w.failed_calls < MAX_FAILED_CALLS => {
+            w if may_start && w.in_service_since(oldest) && w.failed_calls < MAX_FAILED_CALLS => {
                 WorkerState::Active
             }
             _ => WorkerState::Draining,
@@ -366,7 +378,8 @@
     }
 
     /// Updates which backend servers may receive new work: only those known to be
-    /// in service within the last `in_service_max_age`.
+    /// in service within the last `in_service_max_age`, and none while the data
+    /// centre is evacuated.
     pub(crate) fn update_usable_workers(&mut self) {
         let oldest = self
             .now
@@ -374,8 +387,8 @@
         for index in 0..self.owner.workers.len() {
             self.update_worker_state(index);
             let worker = &self.owner.workers[index];
-            self.dispatcher
-                .set_usable(&worker.name, worker.in_service_since(oldest));
+            let usable = self.may_start() && worker.in_service_since(oldest);
+            self.dispatcher.set_usable(&worker.name, usable);
         }
     }
 
--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -10,7 +10,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::format_compact;
 use model::{
     Cell, Change, Condition, Config, ConfigError, Hash, Name, Queue, Reason, Refusal, TableError,
@@ -18,6 +17,7 @@
 };
 use wire::Frame;
 
+use crate::evacuation::config_row;
 use crate::event::{CallerId, Reply};
 use crate::node::Node;
 use crate::notice::Notice;
@@ -150,6 +150,7 @@
         self.log(Notice::ConfigActivated(config.version));
         self.configuration.config = config;
         self.apply_config();
+        self.update_starts();
         // Sends heartbeats at once, so that peers confirm the change quickly.
         self.members.request_heartbeats();
     }
@@ -235,11 +236,12 @@
         else {
             return;
         };
+        let checked = self.check_data_centre(&self.configuration.changes[index].change);
         let pending = &mut self.configuration.changes[index];
         let mismatched = pending.expected_version.filter(|v| *v != config.version);
         let next = match mismatched {
             Some(_) => Err(ConfigError::Raced(config.version)),
-            None => config.with_change(&pending.change, pending.id.clone()),
+            None => checked.and_then(|()| config.with_change(&pending.change, pending.id.clone())),
         };
         match next {
             Ok(next) => {
@@ -373,8 +375,6 @@
 }
 
 fn config_transaction(config: &Config, row_version: u64) -> Transaction {
-    // Serializing plain data to memory cannot fail.
-    let value = serde_json::to_vec(config).unwrap_or_default();
     Transaction {
         conditions: vec![Condition {
             key: CONFIG_KEY.into(),
@@ -382,7 +382,7 @@
         }],
         writes: vec![Write {
             key: CONFIG_KEY.into(),
-            value: Some(Bytes::from(value)),
+            value: Some(config_row(config)),
         }],
     }
 }
--- a/crates/control/src/dispatch.rs
+++ b/crates/control/src/dispatch.rs
@@ -78,7 +78,7 @@
     fn check_admission(&self, serve: &ServeRequest) -> Option<Refusal> {
         let second = Duration::from_secs(1);
         let slots = self.dispatcher.usable_slots(&serve.service);
-        if !self.owner.is_active() || slots == 0 {
+        if !self.owner.is_active() || !self.may_start() || slots == 0 {
             return Some(Refusal::temporary(Reason::NoBackend, second));
         }
         if self.refuses_work() {
@@ -129,6 +129,9 @@
         if !self.owner.is_active() {
             return;
         }
+        if !self.may_start() {
+            return self.refuse_queued();
+        }
         let names: Vec<Name> = self.dispatcher.services.keys().cloned().collect();
         for name in names {
             while self.dispatch_next(&name) {}
@@ -271,7 +274,7 @@
 
     fn retry_request(&mut self, mut request: QueuedRequest) {
         request.attempts += 1;
-        if request.attempts < MAX_ATTEMPTS && request.deadline > self.now {
+        if request.attempts < MAX_ATTEMPTS && request.deadline > self.now && self.may_start() {
             return self.enqueue_request(request, true);
         }
         let answer = request.answer_not_sent(Reason::NoBackend);
@@ -310,6 +313,9 @@
     /// Queues a second attempt of idempotent requests that run far longer than
     /// usual, because the connection may be dead. The first response wins.
     fn hedge_slow_runs(&mut self) {
+        if !self.owner.is_active() || !self.may_start() {
+            return; // A second attempt could not start.
+        }
         let mut repeats = Vec::new();
         for run in self.dispatcher.runs.values_mut() {
             let request = &run.request;
@@ -366,7 +372,9 @@
         }
     }
 
-    /// Refuses all queued requests, when ownership is lost.
+    /// Refuses all queued requests, when ownership is lost or nothing may start
+    /// here. A second attempt whose first one still runs is dropped, and the first
+    /// one answers the request.
     pub(crate) fn refuse_queued(&mut self) {
         let mut all: Vec<QueuedRequest> = Vec::new();
         for service in self.dispatcher.services.values_mut() {
@@ -376,6 +384,12 @@
             service.waiting = 0;
         }
         for request in all {
+            let mut runs = self.dispatcher.runs.values_mut();
+            let first = runs.find(|r| r.hedged && r.request.serve.id == request.serve.id);
+            if let Some(first) = first {
+                first.hedged = false;
+                continue;
+            }
             let answer = request.answer_not_sent(Reason::NoBackend);
             self.send_answer(&request.origin, request.serve.id, answer);
         }
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -140,6 +140,28 @@
     /// Usage of each team in this data centre; empty unless this node is the
     /// owner.
     pub teams: Vec<TeamUsage>,
+    /// Evacuated data centres, in the order of their names.
+    pub evacuations: Vec<Evacuation>,
+}
+
+/// Evacuated data centre as seen by this node.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Evacuation {
+    /// Name of the data centre.
+    pub data_centre: Name,
+    /// Configuration version since which no new work starts there.
+    pub since_version: u64,
+    /// Entry VMs that have not confirmed this or a later version; the evacuation
+    /// is in force everywhere if there is none.
+    pub unconfirmed: Vec<Name>,
+    /// Resources of the tasks that run there; `None` if its owner is not known.
+    pub used: Option<model::Resources>,
+    /// Number of tasks that wait there; `None` if its owner is not known.
+    pub waiting_tasks: Option<u32>,
+    /// Number of tasks that run there; `None` unless this node is the owner.
+    pub running_tasks: Option<u32>,
+    /// Number of requests that run there; `None` unless this node is the owner.
+    pub running_requests: Option<u32>,
 }
 
 /// Worker as seen by the owner.
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -475,6 +475,12 @@
         let entry = entry.ok_or(Refusal::permanent(Reason::NoJob))?;
         let job_ref = entry.job_ref.filter(|_| entry.job.phase == Phase::Active);
         let explanation = match job_ref {
+            Some(_) if self.is_evacuated(&self.owner.data_centre) => {
+                let here = &self.owner.data_centre;
+                vec![format_compact!(
+                    "data centre {here} is evacuated; waiting tasks start once it is restored"
+                )]
+            }
             Some(job) => self.owner.engine.explain(job),
             None => vec![entry.job.reason.clone()],
         };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 pub(crate) mod claims;
 pub(crate) mod configuration;
 pub(crate) mod dispatch;
+pub(crate) mod evacuation;
 pub(crate) mod event;
 pub(crate) mod gateway;
 pub(crate) mod jobs;
@@ -31,8 +32,8 @@
 pub(crate) mod view;
 
 pub use event::{
-    ApiRequest, CallerId, Effect, Event, Execute, ExecuteError, ExecutorResponse, Fleet, Metric,
-    Peer, Reply, TableCall, WorkerError,
+    ApiRequest, CallerId, Effect, Evacuation, Event, Execute, ExecuteError, ExecutorResponse,
+    Fleet, Metric, Peer, Reply, TableCall, WorkerError,
 };
 pub use node::Node;
 pub use notice::Notice;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -115,7 +115,9 @@
             self.log(Notice::EventGap(gap.as_millis() as u64));
             self.update_usable_workers();
         }
+        self.update_starts();
         self.handle_event(event);
+        self.update_starts();
         self.place_tasks();
         self.unbind_retired();
         self.dispatch_all();
@@ -405,6 +407,7 @@
             loads: self.loads(),
             workers: self.owner.worker_statuses(),
             teams: self.team_usages(),
+            evacuations: self.evacuations(),
         }
     }
 
--- a/crates/control/src/notice.rs
+++ b/crates/control/src/notice.rs
@@ -29,6 +29,15 @@
     KeysUnverifiable,
     /// 123: the configuration is fresh enough to verify keys.
     KeysVerifiable,
+    /// 124: this node's data centre is evacuated; no new work starts there.
+    Evacuated(Name),
+    /// 125: this node's data centre is not evacuated any more.
+    Restored(Name),
+    /// 126: the configuration is older than `evacuation_proof`; no new work starts
+    /// in this node's data centre.
+    EvacuationsUnconfirmed(Name),
+    /// 127: the configuration is recent enough to start work.
+    EvacuationsConfirmed(Name),
     /// 130: the table service stopped responding.
     StoreDown,
     /// 131: the table service responds again.
@@ -78,6 +87,10 @@
             Self::ConfigMalformed(_) => 121,
             Self::KeysUnverifiable => 122,
             Self::KeysVerifiable => 123,
+            Self::Evacuated(_) => 124,
+            Self::Restored(_) => 125,
+            Self::EvacuationsUnconfirmed(_) => 126,
+            Self::EvacuationsConfirmed(_) => 127,
             Self::StoreDown => 130,
             Self::StoreUp => 131,
             Self::TakingOver(..) => 140,
@@ -106,6 +119,7 @@
                 | Self::FrameMalformed(_)
                 | Self::ConfigMalformed(_)
                 | Self::KeysUnverifiable
+                | Self::EvacuationsUnconfirmed(_)
                 | Self::StoreDown
                 | Self::OwnershipSuperseded(..)
                 | Self::OwnershipUnconfirmed(_)
@@ -141,6 +155,18 @@
                 f,
                 "configuration is known to be current; keys can be verified"
             ),
+            Self::Evacuated(dc) => {
+                write!(f, "data centre {dc} is evacuated; no new work starts there")
+            }
+            Self::Restored(dc) => write!(f, "data centre {dc} is no longer evacuated"),
+            Self::EvacuationsUnconfirmed(dc) => write!(
+                f,
+                "configuration is not known to be current; no new work starts in data centre {dc}"
+            ),
+            Self::EvacuationsConfirmed(dc) => write!(
+                f,
+                "configuration is known to be current; new work may start in data centre {dc}"
+            ),
             Self::StoreDown => write!(f, "table service is not responding"),
             Self::StoreUp => write!(f, "table service is responding"),
             Self::TakingOver(dc, e) => write!(f, "taking over data centre {dc} with epoch {e}"),
--- a/crates/control/src/owner.rs
+++ b/crates/control/src/owner.rs
@@ -21,6 +21,7 @@
 
 use crate::allotment::Allotments;
 use crate::calls::{InFlightCall, TrackedWorker};
+use crate::evacuation::Starts;
 use crate::jobs::Jobs;
 use crate::node::Node;
 use crate::notice::Notice;
@@ -92,6 +93,8 @@
     pub(crate) lease_confirmed: bool,
     /// When this process started, before which it received no heartbeats.
     pub(crate) started_at: Duration,
+    /// Whether new work may start here; `None` before the first event.
+    pub(crate) starts: Option<Starts>,
 }
 
 impl Owner {
@@ -113,6 +116,7 @@
             withhold_until: None,
             lease_confirmed: false,
             started_at: now,
+            starts: None,
         }
     }
 
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -18,6 +18,13 @@
         loads
     }
 
+    /// Returns the loads of the data centres in which new work may start.
+    pub(crate) fn open_loads(&self) -> Vec<DataCentreLoad> {
+        let mut loads = self.loads();
+        loads.retain(|load| !self.is_evacuated(&load.data_centre));
+        loads
+    }
+
     /// Returns the live owner of a data centre: this node, or else the live peer
     /// that publishes the highest epoch.
     pub(crate) fn owner_of(&self, data_centre: &Name) -> Option<Name> {
@@ -62,7 +69,7 @@
         let here = self.owner.data_centre.clone();
         let mut candidates: Vec<(Name, Name, i64)> = Vec::new();
         for data_centre in &self.settings.data_centres {
-            if tried.contains(data_centre) {
+            if tried.contains(data_centre) || self.is_evacuated(data_centre) {
                 continue;
             }
             let Some(owner) = self.owner_of(data_centre) else {
@@ -120,7 +127,7 @@
         tasks: u32,
     ) -> Option<Name> {
         let mut best: Option<(f64, Name)> = None;
-        for load in self.loads() {
+        for load in self.open_loads() {
             if !each.fits(&load.largest) {
                 continue;
             }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -29,6 +29,10 @@
     pub poll: Duration,
     /// Maximum age of the configuration for which keys are accepted.
     pub key_fresh: Duration,
+    /// Maximum age of the configuration with which an owner may start work, so
+    /// that an evacuation is in force there after this time even if the owner is
+    /// cut off; `None` to go on with the configuration that was read last.
+    pub evacuation_proof: Option<Duration>,
     /// Maximum time for which a worker holds the response to a watch call.
     pub sync: Duration,
     /// Time after which a worker ends tasks whose lease was not renewed.
@@ -56,6 +60,7 @@
             peer_silent: Duration::from_millis(3_000),
             poll: Duration::from_millis(1_000),
             key_fresh: Duration::from_millis(4_000),
+            evacuation_proof: None,
             sync: Duration::from_millis(4_000),
             task_lease: Duration::from_secs(20),
             owner_lease: Duration::from_secs(4),
@@ -78,6 +83,9 @@
     /// rejected between two polls.
     #[error("key_fresh must be at least twice poll and at most 4.5 s")]
     KeyFresh,
+    /// Work would not start between two polls.
+    #[error("evacuation_proof must be at least twice poll")]
+    EvacuationProof,
     /// Task leases would expire between two calls.
     #[error("task_lease must be at least four times sync")]
     TaskLease,
@@ -96,6 +104,9 @@
         match self {
             t if t.peer_silent < t.beat_far * 3 => Err(TimingError::PeerSilent),
             t if t.key_fresh < t.poll * 2 || t.key_fresh > max_fresh => Err(TimingError::KeyFresh),
+            t if t.evacuation_proof.is_some_and(|proof| proof < t.poll * 2) => {
+                Err(TimingError::EvacuationProof)
+            }
             t if t.task_lease < t.sync * 4 => Err(TimingError::TaskLease),
             t if t.owner_lease < (t.poll * 3).max(Duration::from_secs(3)) => {
                 Err(TimingError::OwnerLease)
--- a/crates/control/src/submit.rs
+++ b/crates/control/src/submit.rs
@@ -88,7 +88,7 @@
                 Err(Refusal::permanent(Reason::BadRequest))
             }
             () if self.store.is_down() => Err(Refusal::temporary(Reason::StoreDown, retry_after)),
-            () if self.loads().is_empty() => {
+            () if self.open_loads().is_empty() => {
                 Err(Refusal::temporary(Reason::NoBackend, retry_after))
             }
             () => match self.select_home(&team, &spec.each, spec.tasks) {
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -28,6 +28,14 @@
     }
 }
 
+impl Owner {
+    /// Returns the number of tasks with resources committed on any worker.
+    pub(crate) fn running_tasks(&self) -> u32 {
+        let running = self.workers.iter().map(|w| self.engine.tasks_on(w.id));
+        running.sum::<usize>() as u32
+    }
+}
+
 impl Node {
     /// Returns the load of this node's data centre, if this node is the owner.
     pub(crate) fn own_load(&self) -> Option<DataCentreLoad> {
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -85,6 +85,20 @@
                         .value_parser(value_parser!(PathBuf)),
                 ),
         )
+        .subcommand(
+            Command::new("evacuate")
+                .about("Start no more work in a data centre; running work goes on")
+                .arg(required_arg("data_centre", "Data centre")),
+        )
+        .subcommand(
+            Command::new("restore")
+                .about("Permit new work in an evacuated data centre again")
+                .arg(required_arg("data_centre", "Data centre")),
+        )
+        .subcommand(
+            Command::new("evacuations")
+                .about("List the evacuated data centres and what still runs there"),
+        )
         .subcommand(preset_command())
         .subcommand(team_command())
         .subcommand(key_command())
@@ -213,6 +227,17 @@
             (value, text)
         }
         "trace" => trace_logs(sub_args)?,
+        "evacuate" | "restore" => {
+            let change = evacuation_change(name, sub_args);
+            let value = client.apply_change(&change, expected_version).await?;
+            let text = show::change_summary(&value);
+            (value, text)
+        }
+        "evacuations" => {
+            let fleet = client.get("/admin/v1/fleet").await?;
+            let text = show::evacuations(&fleet);
+            (fleet["evacuations"].clone(), text)
+        }
         _ => run_group_action(&client, name, sub_args, expected_version).await?,
     };
     Ok(if json { value.to_string() } else { text })
@@ -333,6 +358,14 @@
     Ok(Some(change))
 }
 
+fn evacuation_change(command: &str, args: &ArgMatches) -> Change {
+    let data_centre = string_value(args, "data_centre");
+    match command {
+        "evacuate" => Change::Evacuate { data_centre },
+        _ => Change::Restore { data_centre },
+    }
+}
+
 fn read_preset(path: &str) -> Result<Preset, CommandError> {
     let text =
         std::fs::read(path).map_err(|e| CommandError::InvalidInput(format!("{path}: {e}")))?;
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -63,6 +63,45 @@
     out
 }
 
+/// Formats the evacuated data centres in the state of the fleet.
+pub(crate) fn evacuations(fleet: &Value) -> String {
+    let list = elements(&fleet["evacuations"]);
+    if list.is_empty() {
+        return "no data centre is evacuated".to_owned();
+    }
+    let lines = list.iter().map(|evacuation| {
+        let unconfirmed = elements(&evacuation["unconfirmed"]);
+        let state = match unconfirmed {
+            [] => "in force everywhere".to_owned(),
+            names => {
+                let names: Vec<String> = names.iter().map(scalar_text).collect();
+                format!("not confirmed by {}", names.join(", "))
+            }
+        };
+        let runs = match (&evacuation["running_tasks"], &evacuation["used"]) {
+            (Value::Null, Value::Null) => "its owner is not known".to_owned(),
+            (Value::Null, used) => format!(
+                "tasks use {} millicpus, {} MiB, {} accelerators",
+                scalar_text(&used["millicpus"]),
+                scalar_text(&used["memory_mib"]),
+                scalar_text(&used["accelerators"])
+            ),
+            (tasks, _) => format!(
+                "{} tasks and {} requests run",
+                scalar_text(tasks),
+                scalar_text(&evacuation["running_requests"])
+            ),
+        };
+        format!(
+            "data centre {:<14} evacuated since version {}, {state}; {runs}; {} tasks wait",
+            scalar_text(&evacuation["data_centre"]),
+            scalar_text(&evacuation["since_version"]),
+            scalar_text(&evacuation["waiting_tasks"])
+        )
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
 /// Formats the state of the fleet.
 pub(crate) fn fleet_status(fleet: &Value) -> String {
     let mut out = format!(
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -16,6 +16,8 @@
 pub const MAX_QUEUES: usize = 512;
 /// Maximum number of keys per team.
 pub const MAX_KEYS: usize = 64;
+/// Maximum number of evacuated data centres.
+pub const MAX_EVACUATED: usize = 64;
 /// Maximum number of change identifiers kept in `Config::history`.
 const MAX_HISTORY: usize = 32;
 /// Maximum length of a name in bytes.
@@ -112,6 +114,17 @@
     pub teams: BTreeMap<Name, Team>,
     /// Queues by name, at most `MAX_QUEUES`.
     pub queues: BTreeMap<Name, Queue>,
+    /// Evacuated data centres, at most `MAX_EVACUATED`, with the version since
+    /// which no new work starts there.
+    ///
+    /// Builds without this field reject a row or a frame that has it: they log
+    /// 121 or 112 and keep the version that they have, so an owner of such a
+    /// build does not act on an evacuation and is not counted as confirmed.
+    /// The row of a version without evacuations leaves the field out, so that
+    /// such builds can read it. Frames encode fields by position, so it is the
+    /// last field.
+    #[serde(default)]
+    pub evacuated: BTreeMap<Name, u64>,
 }
 
 /// A change of the configuration by an operator.
@@ -160,6 +173,16 @@
         /// Complete new definition; a queue for requests needs a service.
         queue: Queue,
     },
+    /// Starts no more work in a data centre. Running work is not affected.
+    Evacuate {
+        /// Data centre to evacuate; no effect if it is evacuated already.
+        data_centre: Name,
+    },
+    /// Permits new work in an evacuated data centre again.
+    Restore {
+        /// Data centre to restore; no effect if it is not evacuated.
+        data_centre: Name,
+    },
 }
 
 /// Why a change or a configuration was rejected.
@@ -172,6 +195,9 @@
     /// The named team does not exist.
     #[error("no team named {0}")]
     NoTeam(Name),
+    /// The named data centre is not in the settings of the entry VMs.
+    #[error("no data centre named {0}")]
+    NoDataCentre(Name),
     /// The key is not granted to the team.
     #[error("team {0} has no such key")]
     NoKey(Name),
@@ -249,6 +275,13 @@
             Change::PutQueue { name, queue } => {
                 self.queues.insert(name.clone(), queue.clone());
             }
+            Change::Evacuate { data_centre } => {
+                let since = self.version + 1;
+                self.evacuated.entry(data_centre.clone()).or_insert(since);
+            }
+            Change::Restore { data_centre } => {
+                self.evacuated.remove(data_centre);
+            }
         }
         Ok(())
     }
@@ -273,6 +306,9 @@
         if self.queues.len() > MAX_QUEUES {
             return Err(ConfigError::Full(MAX_QUEUES));
         }
+        if self.evacuated.len() > MAX_EVACUATED {
+            return Err(ConfigError::Full(MAX_EVACUATED));
+        }
         self.presets.keys().try_for_each(check_name)?;
         for (name, team) in &self.teams {
             check_name(name)?;
@@ -305,6 +341,12 @@
         self.teams.iter().find(|(_, t)| has_key(t)).map(|(n, _)| n)
     }
 
+    /// Returns whether a data centre is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, data_centre: &Name) -> bool {
+        self.evacuated.contains_key(data_centre)
+    }
+
     /// Returns the active preset, or the default preset if the configuration has
     /// none.
     #[must_use]
--- a/crates/model/tests/config.rs
+++ b/crates/model/tests/config.rs
@@ -100,3 +100,40 @@
     );
     assert_eq!(config.team_by_key(&"k".into()), None);
 }
+
+#[test]
+fn repeated_evacuations_keep_the_first_version() {
+    let evacuate = Change::Evacuate {
+        data_centre: "east".into(),
+    };
+    let first = config()
+        .with_change(&evacuate, "c1".into())
+        .expect("valid change");
+
+    let second = first
+        .with_change(&evacuate, "c2".into())
+        .expect("valid change");
+
+    assert_eq!(second.evacuated.get("east"), Some(&1));
+    assert!(second.is_evacuated(&"east".into()));
+}
+
+#[test]
+fn restoring_twice_has_the_effect_of_restoring_once() {
+    let mut config = config();
+    config.evacuated.insert("east".into(), 1);
+    let restore = Change::Restore {
+        data_centre: "east".into(),
+    };
+
+    let once = config
+        .with_change(&restore, "c1".into())
+        .expect("valid change");
+    let twice = once
+        .with_change(&restore, "c2".into())
+        .expect("valid change");
+
+    assert!(once.evacuated.is_empty());
+    assert!(twice.evacuated.is_empty());
+    assert_eq!(twice.version, 2);
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -137,6 +137,9 @@
     pub poll: Option<ConfigDuration>,
     /// Maximum time for which a worker holds its response to a watch call.
     pub sync: Option<ConfigDuration>,
+    /// Maximum age of the configuration with which an owner may start work, for
+    /// evacuations; not limited if absent.
+    pub evacuation_proof: Option<ConfigDuration>,
     /// Time after which a worker ends tasks whose lease was not renewed.
     pub task_lease: Option<ConfigDuration>,
     /// Time for which an owner may act after its epoch was last confirmed.
@@ -344,6 +347,7 @@
         set(&mut timing.peer_silent, times.peer_silent);
         set(&mut timing.poll, times.poll);
         set(&mut timing.sync, times.sync);
+        timing.evacuation_proof = times.evacuation_proof.map(|ConfigDuration(value)| value);
         set(&mut timing.task_lease, times.task_lease);
         set(&mut timing.owner_lease, times.owner_lease);
         set(&mut timing.retention, times.retention);
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -25,6 +25,9 @@
     /// Work started on a backend server more than [`PROPAGATION_GRACE_MS`]
     /// after it was announced to leave.
     pub work_on_leaving_workers: u64,
+    /// Work started in a data centre more than [`PROPAGATION_GRACE_MS`] after its
+    /// evacuation was acknowledged.
+    pub work_in_evacuated_data_centres: u64,
     /// Runs beyond the slots of an executor.
     pub overloaded_executors: u64,
 }
@@ -34,6 +37,7 @@
     capacity: Resources,
     used: Resources,
     leaving_since_ms: Option<u64>,
+    evacuated_since_ms: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -89,6 +93,13 @@
         vm.leaving_since_ms.get_or_insert(now_ms);
     }
 
+    /// Records that the evacuation of the data centre of a worker VM was
+    /// acknowledged at this time, in ms, or `None` once its end was requested.
+    pub fn record_evacuation(&mut self, name: &Name, since_ms: Option<u64>) {
+        let vm = self.vms.entry(name.clone()).or_default();
+        vm.evacuated_since_ms = since_ms;
+    }
+
     fn record_history(&mut self, job: &JobId, text: String) {
         self.history.entry(job.clone()).or_default().push(text);
     }
@@ -122,6 +133,18 @@
                 "{now_ms} ms: work started on {vm}, leaving since {leaving:?}"
             ));
         }
+        self.check_evacuation(vm, now_ms);
+    }
+
+    /// Checks work that starts on a VM against the evacuation of its data centre.
+    fn check_evacuation(&mut self, vm: &Name, now_ms: u64) {
+        let since = self.vms.get(vm).and_then(|v| v.evacuated_since_ms);
+        if since.is_some_and(|since_ms| now_ms > since_ms + PROPAGATION_GRACE_MS) {
+            self.violations.work_in_evacuated_data_centres += 1;
+            self.record_violation_detail(format!(
+                "{now_ms} ms: work started on {vm}, evacuated since {since:?}"
+            ));
+        }
     }
 
     fn release(&mut self, team: &Name, each: Resources) {
--- a/crates/standin/src/schedule.rs
+++ b/crates/standin/src/schedule.rs
@@ -10,6 +10,7 @@
 
 pub(crate) mod callers;
 pub(crate) mod edges;
+pub(crate) mod evacuations;
 pub(crate) mod faults;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,6 +28,7 @@
 use crate::worker::Worker;
 
 pub use callers::Clients;
+pub use evacuations::Evacuation;
 pub use faults::{ALL_FAULTS, Fault};
 
 /// Period of tick events and of the checks between them, in ms.
@@ -130,6 +132,10 @@
     pub(crate) drop_responses: bool,
     pub(crate) violation: Option<Violation>,
     pub(crate) faults: Vec<Fault>,
+    /// Setting `Timing::evacuation_proof` of processes that are started.
+    pub(crate) evacuation_proof: Option<Duration>,
+    /// Whether the process on any entry VM was killed.
+    pub(crate) entry_vm_killed: bool,
 }
 
 /// Data centre of each entry VM.
@@ -251,6 +257,8 @@
             drop_responses: false,
             violation: None,
             faults: faults.to_vec(),
+            evacuation_proof: None,
+            entry_vm_killed: false,
         };
         for index in 0..ENTRY_DATA_CENTRES.len() {
             simulation.start_entry_vm(index);
@@ -274,7 +282,10 @@
                 .map(identity)
                 .collect(),
             data_centres: vec![Name::from("east"), Name::from("west")],
-            timing: Timing::default(),
+            timing: Timing {
+                evacuation_proof: self.evacuation_proof,
+                ..Timing::default()
+            },
             store_writes_per_second: 40,
             initial: Some(config()),
         };
@@ -383,7 +394,8 @@
         if let Some(id) = self.clients.refused_but_ran(&self.ledger) {
             return Err(Violation::RefusedButRan(id));
         }
-        let planned_stops_only = self.faults.iter().all(|f| *f == Fault::PlannedStop);
+        let planned_stops_only =
+            !self.entry_vm_killed && self.faults.iter().all(|f| *f == Fault::PlannedStop);
         if let Some(id) = self
             .clients
             .unknown_request()
--- a/crates/standin/src/schedule/callers.rs
+++ b/crates/standin/src/schedule/callers.rs
@@ -8,10 +8,11 @@
 
 use bytes::Bytes;
 use control::{ApiRequest, Event, Reply};
-use model::{Answer, Change, JobId, Name, Resources, Spec, key};
+use model::{Answer, Change, ConfigError, JobId, Name, Resources, Spec, key};
 
 use crate::executor::echo_response;
 use crate::ledger::{Ledger, PROPAGATION_GRACE_MS};
+use crate::schedule::evacuations::{Evacuation, Step, build_change};
 use crate::schedule::{FAULT_START_MS, LOAD_END_MS, ScheduledEvent, Simulation, Violation};
 
 /// Mean interval between requests, in ms.
@@ -33,6 +34,7 @@
     ChangeConfig(Name),
     WithdrawKey,
     UseWithdrawnKey,
+    Evacuation(Evacuation, Step),
 }
 
 #[derive(Clone, Debug)]
@@ -77,6 +79,12 @@
     /// Teams created by acknowledged configuration changes.
     pub acknowledged_teams: Vec<Name>,
     withdrawn_ms: Option<u64>,
+    /// Number of acknowledged evacuations.
+    pub evacuated: u32,
+    /// Number of evacuations whose end was acknowledged.
+    pub restored: u32,
+    /// Errors with which evacuations were rejected.
+    pub conflicts: Vec<ConfigError>,
     /// First log lines of the nodes, to diagnose a failed run.
     pub log_lines: Vec<String>,
     /// Time in ms, index of the entry VM, and event number of each log event.
@@ -196,6 +204,10 @@
 
     /// Sends a request to a random entry VM that is ready, if there is one.
     pub(crate) fn perform(&mut self, action: Action) {
+        if let Action::Evacuation(evacuation, Step::Restore) = &action {
+            // The request may take effect at any time from now on.
+            self.record_evacuation(evacuation.data_centre, None);
+        }
         let running: Vec<usize> = (0..self.entry_vms.len())
             .filter(|index| {
                 self.entry_vms[*index]
@@ -257,6 +269,9 @@
             (Action::ChangeConfig(team), Reply::Changed { .. }) => {
                 self.clients.acknowledged_teams.push(team)
             }
+            (Action::Evacuation(evacuation, step), reply) => {
+                self.handle_evacuation_reply(evacuation, step, reply);
+            }
             (Action::WithdrawKey, Reply::Changed { .. }) => {
                 self.clients.withdrawn_ms = Some(self.now_ms);
             }
@@ -347,6 +362,7 @@
             },
             expected_version: None,
         },
+        Action::Evacuation(evacuation, step) => build_change(evacuation, *step),
         Action::UseWithdrawnKey => ApiRequest::Request {
             queue: Name::from("ask"),
             key: Some(key::hash("leaver")),
--- a/crates/standin/src/schedule/faults.rs
+++ b/crates/standin/src/schedule/faults.rs
@@ -84,9 +84,7 @@
         match fault {
             Fault::KillEntry => {
                 let index = self.first_owner();
-                self.entry_vms[index].node = None;
-                self.entry_vms[index].incarnation += 1;
-                self.schedule_after(ENTRY_REPLACEMENT_DELAY_MS, ScheduledEvent::Replace(index));
+                self.kill_entry_vm(index);
             }
             Fault::PauseEntry => {
                 let index = self.first_owner();
@@ -126,6 +124,14 @@
         }
     }
 
+    /// Kills the process on an entry VM; the platform replaces the VM later.
+    pub(crate) fn kill_entry_vm(&mut self, index: usize) {
+        self.entry_vm_killed = true;
+        self.entry_vms[index].node = None;
+        self.entry_vms[index].incarnation += 1;
+        self.schedule_after(ENTRY_REPLACEMENT_DELAY_MS, ScheduledEvent::Replace(index));
+    }
+
     fn clear(&mut self, fault: Fault) {
         match fault {
             Fault::PauseEntry => {
