--- a/crates/ctl/src/api.rs
+++ b/crates/ctl/src/api.rs
@@ -63,7 +63,8 @@
     }
 }
 
-/// Client of one entry VM's administration interface.
+/// Client of one entry VM's administration interface, or of the interface for other VMs,
+/// which takes no token.
 pub(crate) struct AdminClient {
     client: Client,
     address: CompactString,
@@ -100,12 +101,25 @@
         self.send(Method::POST, &path, body).await
     }
 
+    /// Sends a question, which changes nothing.
+    pub(crate) async fn ask(&self, path: &str, question: &Value) -> Result<Value, CommandError> {
+        let body = Bytes::from(question.to_string());
+        let answer = self.send(Method::POST, path, body).await;
+        answer.map_err(|error| match error {
+            CommandError::OutcomeUnknown => CommandError::Refused("no answer".to_owned()),
+            other => other,
+        })
+    }
+
     async fn send(&self, method: Method, path: &str, body: Bytes) -> Result<Value, CommandError> {
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(path)
-            .header("host", self.address.as_str())
-            .header("authorization", format!("Bearer {}", self.token))
+            .header("host", self.address.as_str());
+        if !self.token.is_empty() {
+            request = request.header("authorization", format!("Bearer {}", self.token));
+        }
+        let request = request
             .body(Full::new(body))
             .map_err(|e| CommandError::InvalidInput(e.to_string()))?;
         let response = self
@@ -122,7 +136,7 @@
         let message = || value["message"].as_str().unwrap_or_default().to_owned();
         match response.status().as_u16() {
             200 => Ok(value),
-            400 => Err(CommandError::InvalidInput(message())),
+            400 | 404 | 410 if !message().is_empty() => Err(CommandError::InvalidInput(message())),
             401 => Err(CommandError::InvalidToken),
             409 => Err(CommandError::Conflict(message())),
             503 => Err(CommandError::Refused(message())),
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 
 use crate::api::{AdminClient, CommandError};
+use crate::explain;
 use crate::show;
 use crate::trace::Trace;
 
@@ -67,11 +68,7 @@
         )
         .subcommand(Command::new("config").about("Print the active configuration"))
         .subcommand(Command::new("metrics").about("Print quantiles of the waiting times per team"))
-        .subcommand(
-            Command::new("explain")
-                .about("Explain why a job waits or failed, or where it was placed")
-                .arg(required_arg("job", "Job id")),
-        )
+        .subcommand(explain::command())
         .subcommand(
             Command::new("trace")
                 .about("Merge the log lines of several entry VMs on one request, in order")
@@ -194,7 +191,7 @@
         )
 }
 
-fn string_value(args: &ArgMatches, id: &str) -> Name {
+pub(crate) fn string_value(args: &ArgMatches, id: &str) -> Name {
     let value = args.get_one::<String>(id);
     value.map(Name::from).unwrap_or_default()
 }
@@ -220,6 +217,7 @@
         }
         "config" => pretty_json(client.get("/admin/v1/config").await?),
         "metrics" => pretty_json(client.get("/admin/v1/metrics").await?),
+        "explain" if explain::is_graph_job(sub_args) => explain::run(sub_args).await?,
         "explain" => {
             let path = format!("/admin/v1/jobs/{}", string_value(sub_args, "job"));
             let value = client.get(&path).await?;
@@ -240,6 +238,7 @@
         }
         _ => run_group_action(&client, name, sub_args, expected_version).await?,
     };
+    let json = json || (name == "explain" && sub_args.get_flag("json"));
     Ok(if json { value.to_string() } else { text })
 }
 
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod api;
 pub(crate) mod args;
+pub(crate) mod explain;
 pub(crate) mod show;
 pub(crate) mod trace;
 
@@ -12,6 +13,7 @@
 use std::process::ExitCode;
 
 pub use api::CommandError;
+pub use explain::explanation;
 pub use trace::Trace;
 
 /// Exit codes of the process, for use by scripts.
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -7,7 +7,7 @@
 
 use serde_json::{Value, json};
 
-fn scalar_text(value: &Value) -> String {
+pub(crate) fn scalar_text(value: &Value) -> String {
     match value {
         Value::Null => "-".to_owned(),
         Value::String(text) => text.clone(),
--- a/crates/sched/src/explain.rs
+++ b/crates/sched/src/explain.rs
@@ -34,14 +34,17 @@
 use crate::place::{Plan, QueueSettings};
 use crate::rows::Submission;
 
-/// Minimum interval between two explanations. One of them may cost as much as a
-/// placement pass over a long backlog.
+/// Minimum interval between two explanations on one full core; longer in proportion on
+/// part of one. One of them may cost as much as a placement pass over a long backlog.
 const MIN_INTERVAL: Duration = Duration::from_millis(250);
+/// Smallest share of a core for which the interval is prolonged.
+const MIN_CPU_SHARE: f64 = 0.1;
 /// Number of servers that an explanation examines over all its steps, beyond those of
 /// the first one.
 const MAX_EXAMINED: usize = 50_000;
-/// Number of pairs of a task and a server that the plan for a step compares.
-const MAX_PLANNED: usize = 100_000;
+/// Number of pairs of a task and a server that the plans of an explanation compare:
+/// about 3 ms on one full core.
+const MAX_PLANNED: usize = 50_000;
 /// Index of a job that is explained without having been submitted. The ledger counts
 /// its indices from zero and never gets there.
 const UNSUBMITTED: JobIx = JobIx::MAX;
@@ -55,7 +58,8 @@
             let retry_after_ms = ms(self.next_explanation_at - now).max(1);
             answer = Err(Error::Busy { retry_after_ms });
         } else {
-            self.next_explanation_at = now + MIN_INTERVAL;
+            let share = self.settings.cpu_share.clamp(MIN_CPU_SHARE, 1.0);
+            self.next_explanation_at = now + MIN_INTERVAL.div_f64(share);
             self.with_owner(|owner, cx| answer = owner.explain(subject, cx));
         }
         match &answer {
@@ -76,7 +80,10 @@
     /// What this VM knows of the owner.
     fn not_owner(&self) -> Error {
         let known = self.term.owner_version > 0 && !self.term.owner.released;
-        let text = |text: &Name| known.then(|| text.clone()).unwrap_or_default();
+        let text = |text: &Name| match known {
+            true => text.clone(),
+            false => Name::default(),
+        };
         Error::NotOwner {
             owner: text(&self.term.owner.name),
             address: text(&self.term.owner.address),
@@ -154,14 +161,16 @@
             };
             shown.clone().map(step)
         });
-        let explained = explained.filter_map(|step| {
+        let mut budget = MAX_PLANNED;
+        let explained = explained.map_while(|step| {
             let view = View {
                 step,
                 job,
                 queue: &queue,
                 pool,
             };
-            self.explain_step(&view, &ranks, cx)
+            let examined = budget > 0;
+            examined.then(|| self.explain_step(&view, &ranks, &mut budget, cx))?
         });
         let explained: Vec<StepExplanation> = explained.collect();
         let objective = job
@@ -212,6 +221,7 @@
         &self,
         view: &View<'_>,
         ranks: &[(Rank, StepRef)],
+        budget: &mut usize,
         cx: &Cx<'_>,
     ) -> Option<StepExplanation> {
         let View {
@@ -233,7 +243,7 @@
             .iter()
             .filter(|index| self.is_suspect(step.task(**index)))
             .count();
-        let (plan, bounded) = self.plan_bounded(step, spec, &permitted, &usable);
+        let (plan, bounded) = self.plan_bounded(step, spec, &permitted, &usable, budget);
         let query_servers = match queue.admission {
             Some(_) => self.servers_to_name(step, spec, waiting, pool).len(),
             None => 0,
@@ -255,6 +265,7 @@
             startable: plan.len(),
             qualified: usable.len() as u32,
             excluded,
+            unexamined: bounded && spec.gang,
         };
         Some(StepExplanation {
             step: step.step,
@@ -343,20 +354,23 @@
         }
     }
 
-    /// Plans the waiting tasks that are not suspects; of a step with many tasks those
-    /// that can be compared within the bound. The flag says that there are more.
+    /// Plans the waiting tasks that are not suspects, as far as `budget` pairs of a task
+    /// and a server permit, and reduces it. The flag says that there are more tasks; a
+    /// gang is then not planned at all.
     fn plan_bounded(
         &self,
         step: StepRef,
         spec: &Step,
         permitted: &[TaskIndex],
         usable: &[(ServerIx, Candidate)],
+        budget: &mut usize,
     ) -> (Plan, bool) {
-        let limit = (MAX_PLANNED / usable.len().max(1)).max(1);
+        let limit = (*budget / usable.len().max(1)).max(1);
         let tasks = permitted.iter().copied();
         let tasks = tasks.filter(|index| !self.is_suspect(step.task(*index)));
         let mut tasks: Vec<TaskIndex> = tasks.collect();
         let bounded = tasks.len() > limit;
+        *budget = budget.saturating_sub(tasks.len().min(limit) * usable.len().max(1));
         match bounded && spec.gang {
             true => (Plan::new(), true),
             false => {
@@ -421,6 +435,8 @@
     startable: usize,
     qualified: u32,
     excluded: Excluded,
+    /// It is a gang of too many tasks to be planned.
+    unexamined: bool,
 }
 
 impl Facts {
@@ -434,6 +450,7 @@
             f if f.qualified + f.excluded.capable() == 0 => Verdict::NoServer,
             f if f.undecided => Verdict::Query,
             f if f.permitted == 0 => Verdict::Limit,
+            f if f.unexamined => Verdict::Unexamined,
             f if f.startable == f.waiting => Verdict::Starts,
             f if f.startable > 0 => Verdict::StartsPartly,
             f if f.suspects == f.permitted => Verdict::Suspect,
--- a/crates/sched/src/explain/answer.rs
+++ b/crates/sched/src/explain/answer.rs
@@ -92,10 +92,12 @@
 impl From<GraphError> for Error {
     fn from(error: GraphError) -> Self {
         let field = match error {
-            GraphError::Steps => "Pipeline",
-            GraphError::Tasks => "Pipeline.Count",
-            GraphError::Order => "Pipeline.DependsOn",
-            GraphError::Payload => "Spec",
+            GraphError::Steps | GraphError::Row => "steps",
+            GraphError::Tasks => "steps.tasks",
+            GraphError::Order => "steps.depends_on",
+            GraphError::Payload => "payload",
+            GraphError::Name => "steps.image",
+            GraphError::Time => "steps.estimate",
         };
         Self::Invalid {
             field: field.into(),
@@ -219,6 +221,8 @@
     Suspect,
     /// It waits for free resources.
     Room,
+    /// It is a gang of too many tasks to be planned for an explanation.
+    Unexamined,
 }
 
 /// Place of a step among those that wait.
