Test the commands for evacuations as processes

Cause: the output and the exit codes of evacuate and evacuations had no test.

Change: tests of the command line share one entry VM with a fixed answer.

--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/commands/explain.rs
@@ -1,31 +1,13 @@
 //! `greengagemast explain` for graph jobs, against an entry VM that gives a fixed answer.
 
-use std::io::{Read as _, Write as _};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Command, Output};
 
 use serde_json::{Value, json};
 
-const JOB: &str = "0000000000000001";
+use crate::vm::vm;
 
-/// Answers one call with this status and body; returns the address.
-fn vm(status: u16, body: &Value) -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("free port");
-    let address = listener.local_addr().expect("bound address");
-    let body = body.to_string();
-    std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().expect("connection");
-        let mut request = [0; 4_096];
-        let _ = stream.read(&mut request).expect("request");
-        let length = body.len();
-        write!(
-            stream,
-            "HTTP/1.1 {status} -\r\ncontent-length: {length}\r\n\r\n{body}"
-        )
-        .expect("answer");
-    });
-    address
-}
+const JOB: &str = "0000000000000001";
 
 fn explain(address: SocketAddr, args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_greengagemast"))
--- /dev/null
+++ b/crates/ctl/tests/commands/main.rs
@@ -0,0 +1,5 @@
+//! Commands of `greengagemast` as processes.
+
+mod evacuations;
+mod explain;
+mod vm;
