--- a/crates/standin/src/graphs/callers.rs
+++ b/crates/standin/src/graphs/callers.rs
@@ -8,7 +8,7 @@
 use compact_str::format_compact;
 use model::{Graph, JobId, Name, Resources, RunKey, RunOutcome, Stage, Step, TaskId};
 
-/// Factor on the run time of slow runs of speculative steps.
+/// Factor on the run time of speculative steps on slow servers.
 const SLOWDOWN: u32 = 7;
 
 /// Kinds of jobs that clients submit.
@@ -34,12 +34,16 @@
 }
 
 impl TaskBehaviour {
-    /// Returns when and how a run ends unless it is stopped.
-    pub(crate) fn planned_end(&self, run: &RunKey, now: Duration) -> (Duration, RunOutcome) {
+    /// Returns when and how a run ends unless it is stopped. On a server that is `slow`,
+    /// tasks that permit copies take longer.
+    pub(crate) fn planned_end(
+        &self,
+        run: &RunKey,
+        slow: bool,
+        now: Duration,
+    ) -> (Duration, RunOutcome) {
         let time = Duration::from_millis(200 + u64::from(run.task.index % 5) * 180);
-        // Every fourth run of a speculative step is slow for a cause of the run.
-        let is_slow = (u64::from(run.task.index) + run.number).is_multiple_of(4);
-        let time = match self.speculative && is_slow {
+        let time = match self.speculative && slow {
             true => time * SLOWDOWN,
             false => time,
         };
--- a/crates/standin/src/graphs/server.rs
+++ b/crates/standin/src/graphs/server.rs
@@ -274,7 +274,7 @@
         self.highest_attempts.insert(run.task.clone(), run.number);
         let planned_end = behaviour.map(|behaviour| match self.fails_runs {
             true => (now + Duration::from_millis(50), RunOutcome::Failed),
-            false => behaviour.planned_end(run, now),
+            false => behaviour.planned_end(run, self.is_slow(), now),
         });
         let planned_end = match behaviour {
             Some(behaviour) if behaviour.gang => {
@@ -318,6 +318,11 @@
         }
     }
 
+    /// True for the servers on which speculative steps are slow, two of the first ten.
+    fn is_slow(&self) -> bool {
+        self.id.ends_with(['3', '7'])
+    }
+
     fn run_lists(&self, now: Duration) -> RunLists {
         let clock = self.local_clock(now);
         let running = self.active_runs.iter().map(|(task, active)| Progress {
--- a/crates/standin/src/graphs/world.rs
+++ b/crates/standin/src/graphs/world.rs
@@ -93,7 +93,7 @@
     /// Period with more submissions than usual, if any.
     pub burst: Option<Burst>,
     /// If set, half of the jobs without gangs and long-running tasks permit copies, and
-    /// every fourth run of their tasks is slow. The value is the share of the service that
+    /// their tasks are slow on some servers. The value is the share of the service that
     /// copies may take.
     pub copy_share: Option<f64>,
 }
