--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -417,8 +417,6 @@
             Self::CopiesCeased { .. } => 413,
             Self::AttemptsUsed { .. } => 414,
             Self::ClientsClosed { .. } => 420,
-            Self::ServerSpeedChanged { .. } => 405,
-            Self::Disturbance { .. } => 406,
             Self::Explained { .. } => 430,
             Self::ExplanationRefused { .. } => 431,
         }
