--- a/crates/sched/src/heartbeat.rs
+++ b/crates/sched/src/heartbeat.rs
@@ -225,8 +225,9 @@
     fn maybe_request_successor(&mut self, cx: &mut Cx<'_>) {
         let unconfirmed = cx.now().saturating_sub(cx.term.confirmed_at);
         let failing = self.heartbeats.failed >= HANDOVER_HEARTBEATS;
+        let all_refused = self.heartbeats.refused == self.heartbeats.failed;
         match () {
-            () if self.heartbeats.refused >= HANDOVER_HEARTBEATS => {
+            () if failing && all_refused => {
                 self.request_takeover(&OfferResponse::TurnedAway, cx);
             }
             () if failing && unconfirmed >= cx.settings.timing.handover_after => {
