--- a/crates/sched/src/term.rs
+++ b/crates/sched/src/term.rs
@@ -28,6 +28,8 @@
 /// Largest share of a CPU core that any VM is assumed to have while no heartbeat
 /// has reported it.
 const DEFAULT_MAX_CPU_SHARE: f64 = 0.5;
+/// Part of the largest CPU share from which a VM claims at once when it is asked to.
+const STRONG_SHARE: f64 = 0.7;
 /// How long a suspicion that the owner has failed lasts.
 const SUSPICION_TTL: Duration = Duration::from_secs(2);
 /// Lower and upper bound of the long poll of the cell table while following.
@@ -232,13 +234,23 @@
             .is_some_and(|(epoch, at)| epoch == self.owner.epoch && recent(at))
     }
 
-    /// Delay of this VM's claims, from its CPU share and the random part.
-    fn claim_delay(&self, settings: &Settings) -> Duration {
-        let max_cpu_share = match self.heartbeat.max_cpu_share {
+    /// True if this VM's CPU share is close to the largest one. The owner asks the VMs whose
+    /// offers it holds; stronger ones may be busy with queries and learn of it later, so a
+    /// weak VM waits as long as for an owner that is only suspected.
+    fn is_strong(&self, settings: &Settings) -> bool {
+        settings.cpu_share >= self.max_cpu_share() * STRONG_SHARE
+    }
+
+    fn max_cpu_share(&self) -> f64 {
+        match self.heartbeat.max_cpu_share {
             known if known > 0.0 => known,
             _ => DEFAULT_MAX_CPU_SHARE,
-        };
-        let ratio = (max_cpu_share / settings.cpu_share.max(0.01)).max(1.0);
+        }
+    }
+
+    /// Delay of this VM's claims, from its CPU share and the random part.
+    fn claim_delay(&self, settings: &Settings) -> Duration {
+        let ratio = (self.max_cpu_share() / settings.cpu_share.max(0.01)).max(1.0);
         let delay = CLAIM_DELAY.mul_f64(ratio * ratio);
         delay.min(MAX_CLAIM_DELAY) + self.claim_jitter
     }
@@ -254,7 +266,9 @@
         match () {
             () if restarted => Duration::ZERO,
             () if self.owner_version == 0 || self.owner.released => self.claim_delay(settings),
-            () if self.is_handover_requested() => self.claim_delay(settings),
+            () if self.is_handover_requested() && self.is_strong(settings) => {
+                self.claim_delay(settings)
+            }
             () if suspected => timing.suspected_owner_timeout + self.claim_delay(settings),
             () => timing.owner_timeout + self.claim_delay(settings),
         }
--- a/crates/sched/tests/owner/handover.rs
+++ b/crates/sched/tests/owner/handover.rs
@@ -70,3 +70,17 @@
 
     assert!(!harness.has_claimed());
 }
+
+/// Guards against a weak VM that becomes the owner since the strong ones were busy when the
+/// owner asked: it served a fleet of 350 servers badly for eight seconds.
+#[test]
+fn a_weak_vm_that_is_asked_leaves_time_for_stronger_ones() {
+    let owner = Harness::owning(0.5);
+    let mut weak = Harness::new("weak", 0.12, owner.cell_rows);
+    weak.advance(Duration::from_millis(200));
+
+    weak.deliver(Event::OfferAnswered(OfferResponse::TurnedAway));
+    weak.advance(Duration::from_millis(1_000));
+
+    assert!(!weak.has_claimed());
+}
