--- a/crates/daemon/examples/crowd.rs
+++ b/crates/daemon/examples/crowd.rs
@@ -7,11 +7,11 @@
 //! and bytes that the kernel holds unread, most descriptors, and whether ordinary
 //! requests are answered afterwards, while the crowd stays connected.
 
-#[path = "../tests/hostile_clients/crowd.rs"]
+#[path = "../../../platform/daemon/tests/hostile_clients/crowd.rs"]
 mod crowd;
-#[path = "../tests/hostile_clients/process.rs"]
+#[path = "../../../platform/daemon/tests/hostile_clients/process.rs"]
 mod process;
-#[path = "../tests/hostile_clients/table.rs"]
+#[path = "../../../platform/daemon/tests/hostile_clients/table.rs"]
 mod table;
 
 use std::net::SocketAddr;
