--- a/review/standin3.py
+++ b/review/standin3.py
@@ -16,7 +16,9 @@
 import time
 from urllib.parse import parse_qs, urlsplit
 
-HOST = "127.0.0.1"
+# A loopback address for this run alone, so that runs at the same time do not take each
+# other's ports.
+HOST = "127.%d.%d.%d" % tuple(random.randrange(1, 255) for _ in range(3))
 
 
 GIVEN_PORTS = set()
