--- a/review/15/case.py
+++ b/review/15/case.py
@@ -6,8 +6,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from standin3 import Runs, config, job, main
 
-SERVERS = 7
-# `srv_grey`, `errors`: the runs of one backend server of seven fail, for 6.5 s each time.
+SERVERS = 12
+# `srv_grey`, `errors`: the runs of one backend server of twelve fail, for 6.5 s each time.
 WINDOWS = [(1.0, 7.5), (15.0, 21.5), (34.0, 40.5)]
 TRAFFIC_S, FINISH_S = 42.0, 14.0
 
