A result of another owner's policy query decides nothing

Cause: the id of a query to the admission policy was the owner's call id, which each process counts from one.

A result without a pending query is logged as event 373.

--- a/crates/sched/src/advice.rs
+++ b/crates/sched/src/advice.rs
@@ -5,19 +5,21 @@
 //! distributes its queries over itself and its helpers, which are the VMs that
 //! offer to send queries for it.
 //!
-//! Invariant: a step has at most one outstanding query, and a ticket is used
-//! only while it is valid.
+//! Invariant: a step has at most one outstanding query, a ticket is used only while it
+//! is valid, and a result is applied only to the query that it answers. A helper may
+//! report a result to another owner than the one that sent the query, so the id of a
+//! query contains the epoch of its owner.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use compact_str::format_compact;
-use model::Name;
+use model::{Epoch, Name};
 use policy::shortlist::GrantRate;
 
 use crate::event::{
     CallId, CallerId, Effect, Metric, Offer, OfferResponse, PolicyDecision, PolicyError,
-    PolicyQuery, Reply,
+    PolicyQuery, QueryId, Reply,
 };
 use crate::fleet::ServerIx;
 use crate::ledger::StepRef;
@@ -35,6 +37,9 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// A query counts as lost after twice its expected duration plus this margin.
 const LOST_QUERY_MARGIN: Duration = Duration::from_millis(600);
+/// Number of query ids in each epoch: more than an owner that sends a hundred queries a
+/// second uses in a year.
+const QUERIES_PER_EPOCH: QueryId = 1 << 32;
 /// Time without an offer after which a helper is removed.
 const HELPER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -56,8 +61,6 @@
 struct Helper {
     /// Its unanswered offer, with the time of arrival.
     offer: Option<(CallerId, Duration)>,
-    /// Call id of the query that it is sending to the policy.
-    query_in_flight: Option<CallId>,
     last_heard_at: Duration,
     /// Its share of a CPU core; zero while it could not become the owner.
     cpu_share: f64,
@@ -67,12 +70,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct PolicyDispatcher {
     /// All queries without a result.
-    queries: HashMap<CallId, PendingQuery>,
+    queries: HashMap<QueryId, PendingQuery>,
+    /// Number of queries in this term.
+    query_count: u64,
     /// Those that have not been sent, in order of arrival.
-    queued: VecDeque<CallId>,
+    queued: VecDeque<QueryId>,
     helpers: BTreeMap<Name, Helper>,
-    /// Query that this VM itself has sent to the policy.
-    local_query: Option<CallId>,
+    /// Query that this VM itself has sent to the policy, with the call that sends it.
+    local_query: Option<(CallId, QueryId)>,
     /// How often the policy of each queue allows a server.
     grant_rates: HashMap<Name, GrantRate>,
 }
@@ -94,8 +99,14 @@
         shares.fold(0.0, f64::max)
     }
 
+    /// Assigns the id of the next query of the owner of `epoch`.
+    fn next_query_id(&mut self, epoch: Epoch) -> QueryId {
+        self.query_count += 1;
+        epoch * QUERIES_PER_EPOCH + self.query_count
+    }
+
     /// Number of queries that are queued or in flight.
-    pub(crate) fn query_count(&self) -> u32 {
+    pub(crate) fn pending_queries(&self) -> u32 {
         self.queries.len() as u32
     }
 
@@ -106,7 +117,7 @@
     /// True if another query of this priority would be sent soon: the queries
     /// queued ahead of it do not outnumber the helpers.
     fn has_capacity(&self, priority: u32) -> bool {
-        let queries = self.queued.iter().filter_map(|call| self.queries.get(call));
+        let queries = self.queued.iter().filter_map(|id| self.queries.get(id));
         let ahead = queries.filter(|pending| pending.priority <= priority);
         ahead.count() <= self.helpers.len()
     }
@@ -115,13 +126,13 @@
     fn next_query(&self) -> Option<usize> {
         let reserve_only =
             self.idle_slots() <= RESERVED_FOR_SHORT && self.helpers.len() > RESERVED_FOR_SHORT;
-        let query_of = |call: &CallId| self.queries.get(call);
+        let query_of = |id: &QueryId| self.queries.get(id);
         let fits =
             |pending: &PendingQuery| !reserve_only || pending.query.expected_latency < LONG_QUERY;
         let queued = self.queued.iter().enumerate();
         queued
-            .filter_map(|(i, call)| {
-                query_of(call)
+            .filter_map(|(i, id)| {
+                query_of(id)
                     .filter(|pending| fits(pending))
                     .map(|pending| (pending.priority, i))
             })
@@ -171,10 +182,10 @@
         if !due || server_ids.is_empty() {
             return;
         }
-        let call = cx.next_call_id();
-        state.admission.query = Some(call);
+        let id = self.policy_dispatcher.next_query_id(cx.term.epoch());
+        state.admission.query = Some(id);
         let query = PolicyQuery {
-            id: call,
+            id,
             step: (job, step.occurrence, step.step),
             expected_latency: admission.decision_latency(server_ids.len()),
             servers: server_ids,
@@ -186,8 +197,8 @@
             sent_at: cx.now(),
             helper: Name::default(),
         };
-        self.policy_dispatcher.queries.insert(call, pending);
-        self.policy_dispatcher.queued.push_back(call);
+        self.policy_dispatcher.queries.insert(id, pending);
+        self.policy_dispatcher.queued.push_back(id);
         self.dispatch_queries(cx);
     }
 
@@ -197,16 +208,16 @@
             let Some(position) = self.policy_dispatcher.next_query() else {
                 return;
             };
-            let Some(call) = self.policy_dispatcher.queued.remove(position) else {
+            let Some(id) = self.policy_dispatcher.queued.remove(position) else {
                 return;
             };
             let helper = self.policy_dispatcher.idle_helpers().next().cloned();
-            self.send_query(call, helper, cx);
+            self.send_query(id, helper, cx);
         }
     }
 
-    fn send_query(&mut self, call: CallId, helper: Option<Name>, cx: &mut Cx<'_>) {
-        let Some(pending) = self.policy_dispatcher.queries.get_mut(&call) else {
+    fn send_query(&mut self, id: QueryId, helper: Option<Name>, cx: &mut Cx<'_>) {
+        let Some(pending) = self.policy_dispatcher.queries.get_mut(&id) else {
             return;
         };
         pending.sent_at = cx.now();
@@ -221,7 +232,6 @@
         cx.log(notice);
         let offer = helper.and_then(|name| {
             let helper = self.policy_dispatcher.helpers.get_mut(&name)?;
-            helper.query_in_flight = Some(call);
             helper.offer.take()
         });
         match offer {
@@ -230,7 +240,8 @@
                 reply: Reply::Helper(OfferResponse::Query(query)),
             }),
             None => {
-                self.policy_dispatcher.local_query = Some(call);
+                let call = cx.next_call_id();
+                self.policy_dispatcher.local_query = Some((call, id));
                 cx.out.push(Effect::QueryPolicy {
                     call,
                     query: Box::new(query),
@@ -247,8 +258,11 @@
             cpu_share,
             result,
         } = offer;
-        let helper = self.policy_dispatcher.helpers.entry(name).or_default();
-        helper.query_in_flight = None;
+        let helper = self
+            .policy_dispatcher
+            .helpers
+            .entry(name.clone())
+            .or_default();
         helper.cpu_share = cpu_share;
         helper.last_heard_at = cx.now();
         let replaced = helper.offer.replace((caller, cx.now()));
@@ -256,26 +270,44 @@
             let reply = Reply::Helper(OfferResponse::Idle);
             cx.out.push(Effect::Reply { caller, reply });
         }
-        if let Some((call, result)) = result {
-            self.policy_answered(call, result, cx);
+        match result {
+            Some((id, result)) if self.policy_dispatcher.queries.contains_key(&id) => {
+                self.query_answered(id, result, cx);
+            }
+            Some((id, _)) => cx.log(Notice::AdviceUnused {
+                helper: name,
+                epoch: id / QUERIES_PER_EPOCH,
+            }),
+            None => {}
         }
         self.dispatch_queries(cx);
     }
 
-    /// Handles the policy's response to a query, or its failure.
+    /// Handles the policy's response to a query that this VM itself sent, or its failure.
     pub(crate) fn policy_answered(
         &mut self,
         call: CallId,
         result: Result<PolicyDecision, PolicyError>,
         cx: &mut Cx<'_>,
+    ) {
+        let local = &mut self.policy_dispatcher.local_query;
+        if let Some((_, id)) = local.take_if(|(sent, _)| *sent == call) {
+            self.query_answered(id, result, cx);
+        }
+    }
+
+    /// Applies the result of a query of this term.
+    fn query_answered(
+        &mut self,
+        id: QueryId,
+        result: Result<PolicyDecision, PolicyError>,
+        cx: &mut Cx<'_>,
     ) {
         self.policy_dispatcher
             .local_query
-            .take_if(|local| *local == call);
-        self.policy_dispatcher
-            .queued
-            .retain(|queued| *queued != call);
-        if let Some(pending) = self.policy_dispatcher.queries.remove(&call) {
+            .take_if(|(_, local)| *local == id);
+        self.policy_dispatcher.queued.retain(|queued| *queued != id);
+        if let Some(pending) = self.policy_dispatcher.queries.remove(&id) {
             match result {
                 Ok(decision) => self.apply_decision(&pending, &decision, cx),
                 Err(error) => self.policy_query_failed(&pending, error, cx),
@@ -373,20 +405,20 @@
             .helpers
             .retain(|_, helper| now < helper.last_heard_at + HELPER_TIMEOUT);
         let queued = &self.policy_dispatcher.queued;
-        let lost: Vec<CallId> = self
+        let lost: Vec<QueryId> = self
             .policy_dispatcher
             .queries
             .iter()
-            .filter(|(call, pending)| {
-                let in_flight = !queued.contains(call);
+            .filter(|(id, pending)| {
+                let in_flight = !queued.contains(id);
                 in_flight
                     && now
                         >= pending.sent_at + pending.query.expected_latency * 2 + LOST_QUERY_MARGIN
             })
-            .map(|(call, _)| *call)
+            .map(|(id, _)| *id)
             .collect();
-        for call in lost {
-            self.policy_answered(call, Err(PolicyError::Lost), cx);
+        for id in lost {
+            self.query_answered(id, Err(PolicyError::Lost), cx);
         }
     }
 }
--- a/crates/sched/src/event.rs
+++ b/crates/sched/src/event.rs
@@ -22,6 +22,9 @@
 pub type CallerId = u64;
 /// Identifies an outgoing call; unique within the process.
 pub type CallId = u64;
+/// Identifies a query to the external admission policy; unique among all owners of the
+/// cell.
+pub type QueryId = u64;
 
 /// The time at which an event is handled.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -87,8 +90,8 @@
     /// owner.
     #[serde(rename = "strength")]
     pub cpu_share: f64,
-    /// Result of the VM's previous query.
-    pub result: Option<(CallId, Result<PolicyDecision, PolicyError>)>,
+    /// Result of the VM's previous query, which may be of an earlier owner.
+    pub result: Option<(QueryId, Result<PolicyDecision, PolicyError>)>,
 }
 
 /// The owner's response to an offer, or why there is none.
@@ -114,8 +117,8 @@
 /// A query to the external admission policy, as a helper sends it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PolicyQuery {
-    /// Id assigned by the owner.
-    pub id: CallId,
+    /// Id assigned by the owner; helpers return it with the result.
+    pub id: QueryId,
     /// Job id, occurrence and step index.
     pub step: (Name, u32, u32),
     /// Ids of the candidate backend servers.
--- a/crates/sched/src/ledger.rs
+++ b/crates/sched/src/ledger.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::acceptance::Acceptance;
-use crate::event::CallId;
+use crate::event::{CallId, QueryId};
 use crate::failures::FailedOn;
 use crate::fleet::ServerIx;
 use crate::losses::Losses;
@@ -167,7 +167,7 @@
     /// Backend servers that the policy has denied.
     pub(crate) denied: HashSet<Name>,
     /// Call id of the outstanding query to the policy, if any.
-    pub(crate) query: Option<CallId>,
+    pub(crate) query: Option<QueryId>,
     /// Earliest time of the next query, set after a query that failed.
     pub(crate) next_query_at: Duration,
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -54,7 +54,8 @@
 pub use event::{
     ApiRequest, CallId, CallerId, ChangeFeed, Effect, Event, Finished, Listing, Metric, Offer,
     OfferResponse, Order, OrderError, OrderResponse, PolicyDecision, PolicyError, PolicyQuery,
-    Progress, Rejection, Reply, RequestKind, RunLists, StoreError, StoreResponse, Table, Time,
+    Progress, QueryId, Rejection, Reply, RequestKind, RunLists, StoreError, StoreResponse, Table,
+    Time,
 };
 pub use explain::answer::{
     Error as ExplainError, Excluded, Explanation, Place, StepExplanation, Subject, Verdict,
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -13,7 +13,7 @@
 use crate::evacuation::Evacuations;
 use crate::event::{
     ApiRequest, CallId, CallerId, ChangeFeed, Effect, Event, Offer, OfferResponse, PolicyDecision,
-    PolicyError, Reply, StoreError, StoreResponse, Table, Time,
+    PolicyError, QueryId, Reply, StoreError, StoreResponse, Table, Time,
 };
 use crate::intake::{self, ActiveConfig, Intake};
 use crate::notice::{Notice, ms};
@@ -60,7 +60,8 @@
     pub(crate) ended_term: Option<EndedTerm>,
     offer_in_flight: bool,
     next_offer_at: Duration,
-    policy_query: Option<CallId>,
+    /// Query of an owner that this VM helps, with the call that sends it to the policy.
+    policy_query: Option<(CallId, QueryId)>,
     pub(crate) draining_since: Option<Duration>,
     pub(crate) exited: bool,
     /// Earliest time of the next explanation.
@@ -521,7 +522,7 @@
         }
     }
 
-    fn send_offer(&mut self, result: Option<(CallId, Result<PolicyDecision, PolicyError>)>) {
+    fn send_offer(&mut self, result: Option<(QueryId, Result<PolicyDecision, PolicyError>)>) {
         self.offer_in_flight = true;
         let cpu_share = match self.is_ready() {
             true => self.settings.cpu_share,
@@ -541,8 +542,8 @@
         self.offer_in_flight = false;
         match response {
             OfferResponse::Query(query) => {
-                self.policy_query = Some(query.id);
-                let call = query.id;
+                let call = self.next_call_id();
+                self.policy_query = Some((call, query.id));
                 self.out.push(Effect::QueryPolicy {
                     call,
                     query: Box::new(query),
@@ -573,8 +574,8 @@
     }
 
     fn policy_answered(&mut self, call: CallId, result: Result<PolicyDecision, PolicyError>) {
-        match self.policy_query.take_if(|id| *id == call) {
-            Some(_) if !self.term.is_owning() => self.send_offer(Some((call, result))),
+        match self.policy_query.take_if(|(sent, _)| *sent == call) {
+            Some((_, query)) if !self.term.is_owning() => self.send_offer(Some((query, result))),
             Some(_) => {}
             None => self.with_owner(|owner, cx| owner.policy_answered(call, result, cx)),
         }
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -265,6 +265,9 @@
     },
     /// A query to the external admission policy failed.
     AdviceFailed { job: Name, step: Name, fault: Name },
+    /// A helper's result answers no pending query: another owner sent the query, in
+    /// `epoch`, or it counts as lost.
+    AdviceUnused { helper: Name, epoch: Epoch },
     /// A malformed row was skipped.
     RowMalformed { key: Name },
     /// The layout row can't be used, so no row of a job can be found. An operator
@@ -403,6 +406,7 @@
             Self::AdviceAsked { .. } => 370,
             Self::AdviceGiven { .. } => 371,
             Self::AdviceFailed { .. } => 372,
+            Self::AdviceUnused { .. } => 373,
             Self::RowMalformed { .. } => 380,
             Self::Woke { .. } => 381,
             Self::LayoutUnusable { .. } => 382,
--- a/crates/sched/src/summary.rs
+++ b/crates/sched/src/summary.rs
@@ -41,7 +41,7 @@
             unreached: count_servers(ServerState::InRoster),
             held: count_servers(ServerState::Held),
             usable,
-            questions: self.policy_dispatcher.query_count(),
+            questions: self.policy_dispatcher.pending_queries(),
             unwritten: self.ledger.jobs.values().filter(|job| job.dirty).count() as u32,
             applied: self.commits.applied,
             failed: self.commits.failed,
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -14,6 +14,7 @@
 mod incarnations;
 mod losses;
 mod occurrences;
+mod queries;
 mod room;
 mod roster;
 mod rows;
