A reply of an earlier owner says nothing of the present one

A VM offers help to the owner that it knows. If the owner changed before the reply came, or before the call failed, the VM took it for the present owner's: asked to take over, it claimed at once, and a sound owner lost its term within 0.3 s.

The VM now remembers the epoch to which its offer was sent, and ignores a request to take over or a failed call of another one.

--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use compact_str::format_compact;
-use model::{Stage, Transaction, Write};
+use model::{Epoch, Stage, Transaction, Write};
 
 use crate::drain::EndedTerm;
 use crate::evacuation::Evacuations;
@@ -58,7 +58,8 @@
     pub(crate) next_release_at: Duration,
     /// The last term of this VM, once it has ended.
     pub(crate) ended_term: Option<EndedTerm>,
-    offer_in_flight: bool,
+    /// Epoch of the owner to which the offer in flight was sent.
+    offer_in_flight: Option<Epoch>,
     next_offer_at: Duration,
     /// Query of an owner that this VM helps, with the call that sends it to the policy.
     policy_query: Option<(CallId, QueryId)>,
@@ -93,7 +94,7 @@
             release_call: None,
             next_release_at: time.now,
             ended_term: None,
-            offer_in_flight: false,
+            offer_in_flight: None,
             next_offer_at: time.now,
             policy_query: None,
             draining_since: None,
@@ -515,15 +516,16 @@
         let now = self.time.now;
         let owner = &self.term.owner;
         let known = self.term.owner_version > 0 && !owner.released && !owner.address.is_empty();
-        let free =
-            !self.offer_in_flight && self.policy_query.is_none() && now >= self.next_offer_at;
+        let free = self.offer_in_flight.is_none()
+            && self.policy_query.is_none()
+            && now >= self.next_offer_at;
         if known && free && !self.term.is_owning() && self.draining_since.is_none() {
             self.send_offer(None);
         }
     }
 
     fn send_offer(&mut self, result: Option<(QueryId, Result<PolicyDecision, PolicyError>)>) {
-        self.offer_in_flight = true;
+        self.offer_in_flight = Some(self.term.epoch());
         let cpu_share = match self.is_ready() {
             true => self.settings.cpu_share,
             false => 0.0,
@@ -539,7 +541,7 @@
     }
 
     fn offer_answered(&mut self, response: OfferResponse) {
-        self.offer_in_flight = false;
+        let asked = self.offer_in_flight.take();
         match response {
             OfferResponse::Query(query) => {
                 let call = self.next_call_id();
@@ -550,6 +552,10 @@
                 });
             }
             OfferResponse::Idle => self.next_offer_at = self.time.now,
+            // What an earlier owner lacks says nothing of the present one.
+            _ if asked != Some(self.term.epoch()) => {
+                self.next_offer_at = self.time.now + OFFER_RETRY_DELAY;
+            }
             OfferResponse::TurnedAway => {
                 self.next_offer_at = self.time.now + OFFER_RETRY_DELAY;
                 self.term.note_handover_request(self.time.now);
--- a/crates/sched/tests/owner/handover.rs
+++ b/crates/sched/tests/owner/handover.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use sched::{Event, OfferResponse, Reply};
+use sched::{ChangeFeed, Event, OfferResponse, Reply};
 
-use crate::harness::Harness;
+use crate::harness::{Harness, replace_owner};
 
 /// Time within which an owner asks for a successor once its writes are refused: two
 /// heartbeats, of which the second follows after half of the usual interval.
@@ -84,3 +84,26 @@
 
     assert!(!weak.has_claimed());
 }
+
+/// Guards against a claim on a sound owner's term: a late reply of its predecessor, which was
+/// turned away, was taken for its own.
+#[test]
+fn a_request_of_an_earlier_owner_is_no_reason_to_claim() {
+    let owner = Harness::owning(0.25);
+    let mut helper = Harness::new("helper", 0.25, owner.cell_rows.clone());
+    helper.advance(Duration::from_millis(100));
+    let mut successor = replace_owner(owner, 1);
+    successor.advance(Duration::from_secs(4));
+    let call = helper.cell_follow_call.take().expect("a call that waits");
+    let result = Ok(ChangeFeed {
+        rows: successor.cell_rows,
+        version: successor.version,
+        sent_at: helper.now,
+    });
+    helper.deliver(Event::ChangesReceived { call, result });
+
+    helper.deliver(Event::OfferAnswered(OfferResponse::TurnedAway));
+    helper.advance(CLAIM_TIME);
+
+    assert!(!helper.has_claimed());
+}
