--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -43,6 +43,7 @@
 pub(crate) mod place;
 pub(crate) mod plan;
 pub(crate) mod recover;
+pub(crate) mod registry;
 pub(crate) mod roster;
 pub(crate) mod rows;
 pub(crate) mod settings;
