Registry entries of services that nothing names are not used

Cause: the owner took every entry that could be decoded for the word of a backend server. Entries of a service that the configuration doesn't name entered the roster; more than half of it then never answered, so a successor trusted no records and counted all capacity against each limit. Under the id of a sound server such an entry counted as its next incarnation, which ended its confirmed runs at once and made its own entries obsolete.

An entry is now used only if its service is named by the configuration, by an accepted job or by the entry that it replaces. Others count as no entry, and are applied once their service is named.

The test of explanations listed a server under a service that its configuration didn't name; the configuration now names it, and the counts that it asserts are unchanged.

--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -137,6 +137,12 @@
         self.queues.get(*position)
     }
 
+    /// True if a service has this name.
+    #[must_use]
+    pub fn names_service(&self, name: &str) -> bool {
+        self.services.iter().any(|service| service.name == name)
+    }
+
     /// Looks up a team by name.
     #[must_use]
     pub fn team(&self, name: &str) -> Option<&Team> {
--- a/crates/sched/src/node.rs
+++ b/crates/sched/src/node.rs
@@ -168,7 +168,10 @@
                 if self.active_config.install(*config, requested_at) {
                     let age_ms = ms(self.active_config.age(self.time.now));
                     self.log(Notice::ConfigInForce { version, age_ms });
-                    self.with_owner(|owner, _| owner.place_due = true);
+                    self.with_owner(|owner, cx| {
+                        owner.place_due = true;
+                        owner.services_named(cx);
+                    });
                 }
             }
             Event::ConfigCurrent { requested_at } => self.active_config.confirm(requested_at),
--- a/crates/sched/src/notice.rs
+++ b/crates/sched/src/notice.rs
@@ -132,6 +132,8 @@
         incarnation: u64,
         ends: u32,
     },
+    /// A registry entry is not used, since nothing names its service.
+    EntryUnused { server: Name, service: Name },
     /// A backend server started draining.
     ServerLeaving { server: Name, runs: u32 },
     /// A backend server failed tasks of several jobs and gets no new work for a
@@ -392,6 +394,7 @@
             Self::ListsUnused { .. } => 355,
             Self::ServerResized { .. } => 356,
             Self::StepAtFault { .. } => 357,
+            Self::EntryUnused { .. } => 358,
             Self::Start { .. } => 360,
             Self::StartRejected { .. } => 361,
             Self::StartLost { .. } => 362,
--- a/crates/sched/src/owner.rs
+++ b/crates/sched/src/owner.rs
@@ -24,6 +24,7 @@
 use crate::losses::open::OpenLosses;
 use crate::notice::{Notice, ms};
 use crate::recover::Recovery;
+use crate::registry::Registry;
 use crate::roster::Roster;
 use crate::settings::Settings;
 use crate::term::Term;
@@ -82,6 +83,7 @@
     pub(crate) commits: Commits,
     pub(crate) heartbeats: Heartbeats,
     pub(crate) fences: Fences,
+    pub(crate) registry: Registry,
     pub(crate) roster: Roster,
     pub(crate) division: Division,
     pub(crate) recovery: Recovery,
@@ -128,6 +130,7 @@
             commits: Commits::default(),
             heartbeats: Heartbeats::default(),
             fences: Fences::default(),
+            registry: Registry::default(),
             roster: Roster::default(),
             division: Division::default(),
             recovery: Recovery::new(cx.now()),
--- a/crates/sched/src/recover.rs
+++ b/crates/sched/src/recover.rs
@@ -372,6 +372,7 @@
         self.place_due = true;
         if first {
             self.await_first_answers(cx.now());
+            self.services_named(cx);
             self.log_owner(self.recovery.began_at, cx);
         }
     }
--- a/crates/sched/src/registry.rs
+++ b/crates/sched/src/registry.rs
@@ -1,7 +1,13 @@
 //! The registry of backend servers, as the owner applies it.
 //!
-//! Invariant: an entry of an older incarnation changes nothing.
+//! Other writers may put entries there too, also under the id of a backend server.
+//!
+//! Invariant: an entry adds, replaces or changes a backend server only if its service is named:
+//! by the configuration, by an accepted job, or by the entry that it replaces. Any other one
+//! counts as no entry until its service is named. An entry of an older incarnation changes
+//! nothing.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use model::{Epoch, Name};
@@ -14,9 +20,26 @@
 /// Epoch of the first owner of a cell.
 const FIRST_EPOCH: Epoch = 1;
 
+/// What the owner has read of the registry.
+#[derive(Debug, Default)]
+pub(crate) struct Registry {
+    /// The complete list has been read.
+    is_read: bool,
+    /// Entries whose service is not named, by id; all entries before the first configuration.
+    unnamed: BTreeMap<Name, Listing>,
+}
+
 impl Owner {
     /// Applies a complete list of the registry; entries not in it are removed.
     pub(crate) fn servers_listed(&mut self, listings: Vec<Listing>, cx: &mut Cx<'_>) {
+        self.registry.is_read = true;
+        self.registry.unnamed.clear();
+        // Without a configuration no service is named, so nothing is known to be absent.
+        if cx.config.version == 0 {
+            let entries = listings.into_iter().map(|l| (l.id.clone(), l));
+            self.registry.unnamed.extend(entries);
+            return;
+        }
         let named: Vec<Name> = listings.iter().map(|l| l.id.clone()).collect();
         let missing: Vec<Name> = self
             .fleet
@@ -37,8 +60,53 @@
         self.recovery.registry_loaded = true;
     }
 
+    /// Applies the entries whose services are named now, after the configuration or the known
+    /// jobs have changed.
+    pub(crate) fn services_named(&mut self, cx: &mut Cx<'_>) {
+        let unnamed = std::mem::take(&mut self.registry.unnamed);
+        let is_first = self.registry.is_read && !self.recovery.registry_loaded;
+        if is_first {
+            self.servers_listed(unnamed.into_values().collect(), cx);
+            return;
+        }
+        for (id, listing) in unnamed {
+            match self.is_named(&listing, cx) {
+                true => self.server_listed(listing, cx),
+                false => drop(self.registry.unnamed.insert(id, listing)),
+            }
+        }
+    }
+
+    /// True if the service of an entry is named by the configuration, by an accepted job, or
+    /// by the entry that it replaces: operators may remove a service that is still in use.
+    fn is_named(&self, listing: &Listing, cx: &Cx<'_>) -> bool {
+        let known = self.fleet.find(&listing.id);
+        let known = known.map(|ix| &self.fleet.get(ix).listing.service);
+        cx.config.names_service(&listing.service)
+            || known == Some(&listing.service)
+            || self
+                .ledger
+                .jobs
+                .values()
+                .any(|job| job.service == listing.service)
+    }
+
     /// Applies one registry entry. Entries of older incarnations are ignored.
     pub(crate) fn server_listed(&mut self, listing: Listing, cx: &mut Cx<'_>) {
+        if cx.config.version == 0 {
+            self.registry.unnamed.insert(listing.id.clone(), listing);
+            return;
+        }
+        if !self.is_named(&listing, cx) {
+            self.server_unlisted(&listing.id, cx.now());
+            cx.log(Notice::EntryUnused {
+                server: listing.id.clone(),
+                service: listing.service.clone(),
+            });
+            self.registry.unnamed.insert(listing.id.clone(), listing);
+            return;
+        }
+        self.registry.unnamed.remove(&listing.id);
         self.place_due = true;
         let (id, incarnation) = (listing.id.clone(), listing.incarnation);
         let cold_until = cx.now().saturating_add(listing.cold_left);
@@ -104,6 +172,7 @@
     /// Handles the removal of a registry entry. Runs on the backend server
     /// continue for as long as it responds.
     pub(crate) fn server_unlisted(&mut self, id: &Name, now: Duration) {
+        self.registry.unnamed.remove(id);
         if let Some(ix) = self.fleet.find(id) {
             let server = self.fleet.get_mut(ix);
             server.listed = false;
--- a/crates/sched/tests/owner/explain.rs
+++ b/crates/sched/tests/owner/explain.rs
@@ -8,7 +8,9 @@
     Verdict,
 };
 
-use crate::harness::{Harness, TICK, grant_for, graph, named_listing, owner_of, wide};
+use crate::harness::{
+    Harness, TICK, config_with_service, grant_for, graph, named_listing, owner_of, wide,
+};
 
 const JOB: &str = "0000000000000001";
 const OTHER_JOB: &str = "0000000000000002";
@@ -130,6 +132,7 @@
 #[test]
 fn servers_are_counted_by_what_excludes_them() {
     let mut harness = owner_of(7);
+    harness.install(config_with_service("other"));
     let changed = |id: &str| named_listing(id);
     let listings = [
         Listing {
--- a/crates/sched/tests/owner/harness.rs
+++ b/crates/sched/tests/owner/harness.rs
@@ -81,6 +81,21 @@
     Config::new(1, vec![queue, plain], vec![service], vec![team])
 }
 
+/// The configuration's next version, with one more service.
+pub(crate) fn config_with_service(name: &str) -> Config {
+    let Config {
+        queues,
+        mut services,
+        teams,
+        ..
+    } = config();
+    services.push(Service {
+        name: name.into(),
+        standby: false,
+    });
+    Config::new(2, queues, services, teams)
+}
+
 pub(crate) fn listing() -> Listing {
     Listing {
         id: "server".into(),
@@ -356,11 +371,7 @@
         let versions = cell_rows.iter().map(|row| row.cell.version);
         harness.version = versions.max().unwrap_or(harness.version);
         harness.cell_rows = cell_rows;
-        let config = Box::new(config());
-        harness.deliver(Event::Config {
-            config,
-            requested_at: now,
-        });
+        harness.install(config());
         harness
     }
 
@@ -380,6 +391,16 @@
         }
     }
 
+    /// Delivers a version of the configuration.
+    pub(crate) fn install(&mut self, config: Config) {
+        let requested_at = self.now;
+        let config = Box::new(config);
+        self.deliver(Event::Config {
+            config,
+            requested_at,
+        });
+    }
+
     /// Advances the simulated time, one tick at a time.
     pub(crate) fn advance(&mut self, time: Duration) {
         let until = self.now + time;
--- a/crates/sched/tests/owner/main.rs
+++ b/crates/sched/tests/owner/main.rs
@@ -15,6 +15,7 @@
 mod losses;
 mod occurrences;
 mod queries;
+mod registry;
 mod room;
 mod roster;
 mod rows;
