A backend server in quarantine takes what no other one has room for

Cause: each failed probe doubles the quarantine, up to 300 s, and only a completion on that server ends it. Where no other server may run the task, or the others are full, nothing can complete there until the quarantine ends. On the same path a gang with two members on such a server could never be its probe, and a task that lasts left it on probation for good.

From 5 s after the last failed probe, the length of the first quarantine, the server is now a last resort: one probe at a time, a whole gang counting as one, if no other has room. Queries to the policy, copies and reservations pass it over while others have room. The product's engine does the same for a worker of which no sound one has the size.

A server that fails all still gets at most 8 starts in 24 s, and at most 8 in two minutes if others may run its work.

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -231,6 +231,7 @@
             reserved_for: None,
             reserved: Resources::ZERO,
             health: Health::default(),
+            last_resort: false,
             tasks: Vec::with_capacity(INITIAL_TASK_CAPACITY),
         });
         self.total_capacity = self.total_capacity.plus(capacity);
@@ -406,10 +407,17 @@
     /// Makes workers available again that accept tasks after a quarantine or beside a
     /// probe that lasts. They stay in the list for as long as they are on probation.
     fn release_quarantined(&mut self) {
+        let mut sound_capacities = None;
         let mut index = 0;
         while let Some(worker) = self.quarantined.get(index).copied() {
             let entry = &self.workers[worker as usize];
-            let accepts_at_ms = entry.health.accepts_at_ms(entry.last_start_ms());
+            let last_resort = entry.health.is_last_resort(self.now_ms) && {
+                let sound = sound_capacities.get_or_insert_with(|| self.sound_capacities());
+                !sound.iter().any(|other| entry.capacity.fits(other))
+            };
+            let entry = &mut self.workers[worker as usize];
+            entry.last_resort = last_resort;
+            let accepts_at_ms = entry.accepts_at_ms();
             match accepts_at_ms {
                 None => drop(self.quarantined.swap_remove(index)),
                 Some(_) => index += 1,
@@ -420,6 +428,18 @@
         }
     }
 
+    /// The distinct capacities of the workers that take tasks and are not on probation.
+    fn sound_capacities(&self) -> Vec<Resources> {
+        let mut capacities: Vec<Resources> = Vec::new();
+        for worker in &self.workers {
+            let is_sound = worker.state == WorkerState::Active && !worker.health.is_on_probation();
+            if is_sound && !capacities.contains(&worker.capacity) {
+                capacities.push(worker.capacity);
+            }
+        }
+        capacities
+    }
+
     /// Advances the clock and decays the usage of teams.
     pub(crate) fn advance_to(&mut self, now_ms: u64) {
         let elapsed = now_ms.saturating_sub(self.now_ms) as f64;
--- a/crates/policy/src/fit.rs
+++ b/crates/policy/src/fit.rs
@@ -28,8 +28,10 @@
     pub failed_before: bool,
     /// True when tasks have failed on the backend server since one last completed.
     pub suspected: bool,
-    /// True when the backend server takes one task at a time.
+    /// True when the backend server takes one task, or gang, at a time.
     pub on_probation: bool,
+    /// True when the backend server is in quarantine, and takes only what no other one can.
+    pub last_resort: bool,
 }
 
 /// How a task uses processor time, and for how long it runs.
@@ -46,6 +48,9 @@
 /// Cost of a backend server on which the task failed before. It outweighs any
 /// load, so such a server is used only as a last resort.
 const FAILED_BEFORE_PENALTY: f64 = 100.0;
+/// Cost of a backend server in quarantine. It outweighs all others together, so such a server
+/// is used only when no other one has room.
+const LAST_RESORT_PENALTY: f64 = 10_000.0;
 /// Cost of a backend server on which tasks have failed since one last completed, whatever
 /// the failures are attributed to. It outweighs half of the server's load.
 const SUSPICION_PENALTY: f64 = 0.25;
@@ -116,12 +121,18 @@
     } else {
         0.0
     };
+    let last_resort_penalty = if candidate.last_resort {
+        LAST_RESORT_PENALTY
+    } else {
+        0.0
+    };
     Some(
         runtime
             + LOAD_WEIGHT * load
             + accelerator_penalty
             + INTERFERENCE_PENALTY * f64::from(interfering_tasks)
             + failure_penalty
-            + suspicion_penalty,
+            + suspicion_penalty
+            + last_resort_penalty,
     )
 }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -6,6 +6,10 @@
 //! fails doubles the quarantine, up to a maximum. What ran on the worker before
 //! the quarantine neither counts as a probe nor holds up the next one.
 //!
+//! The doubling spares tasks that other workers may run. It says nothing of whether the
+//! worker is still failing, so tasks that no other worker can take are probes from the end
+//! of the first period on.
+//!
 //! Invariant: the failures of a job count against a worker only until the job
 //! itself is found to be broken.
 
@@ -17,7 +21,8 @@
 const DISTINCT_JOB_FAILURES: usize = 2;
 /// Number of jobs of which a worker's record keeps failures.
 const MAX_RECORDED_JOBS: usize = 16;
-/// Duration of the first quarantine in ms.
+/// Duration of the first quarantine in ms, and of the part of each later one in which the
+/// worker takes no task at all.
 const INITIAL_QUARANTINE_MS: u64 = 5_000;
 /// Longest quarantine in ms.
 const MAX_QUARANTINE_MS: u64 = 300_000;
@@ -25,6 +30,10 @@
 /// it may be a task that never ends.
 const PROBE_MS: u64 = 2_000;
 
+/// Time in ms after which a probe that never ends shows that a worker is sound: a worker that
+/// fails all that it starts does so sooner.
+const LASTING_PROBE_MS: u64 = 1_000;
+
 /// Age of a completion in ms up to which it shows that a worker is sound.
 const SOUND_MS: u64 = 30_000;
 
@@ -40,6 +49,8 @@
 struct Quarantine {
     /// Probes that failed before it.
     failed_probes: u32,
+    /// From when on the worker takes tasks that no other worker can take.
+    last_resort_from_ms: u64,
     until_ms: u64,
 }
 
@@ -48,6 +59,7 @@
         let duration_ms = INITIAL_QUARANTINE_MS.saturating_mul(1 << failed_probes.min(16));
         Self {
             failed_probes,
+            last_resort_from_ms: now_ms + INITIAL_QUARANTINE_MS,
             until_ms: now_ms + duration_ms.min(MAX_QUARANTINE_MS),
         }
     }
@@ -67,14 +79,22 @@
 }
 
 impl Health {
-    /// Returns true if the worker accepts a task. `last_start_ms` is when the last
-    /// attempt was started there.
+    /// Returns true if the worker accepts a task that no other worker can take.
+    /// `last_start_ms` is when the last attempt was started there.
     #[must_use]
     pub fn accepts_tasks(&self, now_ms: u64, last_start_ms: Option<u64>) -> bool {
-        self.accepts_at_ms(last_start_ms)
+        self.accepts_last_resort_at_ms(last_start_ms)
             .is_none_or(|at| now_ms >= at)
     }
 
+    /// Returns true during a quarantine, also while the worker accepts tasks that no other
+    /// worker can take.
+    #[must_use]
+    pub fn is_last_resort(&self, now_ms: u64) -> bool {
+        self.quarantine
+            .is_some_and(|quarantine| now_ms < quarantine.until_ms)
+    }
+
     /// Returns true from the start of a quarantine until a task completes. The worker
     /// takes one task at a time then, if any.
     #[must_use]
@@ -85,9 +105,25 @@
     /// When a worker on probation next accepts a task unless an attempt ends before:
     /// after its quarantine, or when its probe no longer holds up the next one.
     pub(crate) fn accepts_at_ms(&self, last_start_ms: Option<u64>) -> Option<u64> {
-        let until_ms = self.quarantine?.until_ms;
-        let probe = last_start_ms.filter(|started_ms| *started_ms >= until_ms);
-        Some(probe.map_or(until_ms, |started_ms| started_ms + PROBE_MS))
+        let at_ms = self.accepts_last_resort_at_ms(last_start_ms)?;
+        Some(at_ms.max(self.quarantine?.until_ms))
+    }
+
+    /// The same for a task that no other worker can take.
+    pub(crate) fn accepts_last_resort_at_ms(&self, last_start_ms: Option<u64>) -> Option<u64> {
+        let from_ms = self.quarantine?.last_resort_from_ms;
+        let probe = last_start_ms.filter(|started_ms| *started_ms >= from_ms);
+        Some(probe.map_or(from_ms, |started_ms| started_ms + PROBE_MS))
+    }
+
+    /// Records that a probe which lasts has run since `started_ms`. If that is long enough
+    /// to show that the worker is sound, quarantine and probation end.
+    pub fn observe_lasting(&mut self, started_ms: u64, now_ms: u64) {
+        let is_probe = |q: &Quarantine| started_ms >= q.last_resort_from_ms;
+        let is_sound = now_ms >= started_ms + LASTING_PROBE_MS;
+        if is_sound && self.quarantine.as_ref().is_some_and(is_probe) {
+            self.record_completion(now_ms);
+        }
     }
 
     /// Records a completion, which ends quarantine and probation.
@@ -135,7 +171,7 @@
         }
         let failed_probes = match self.quarantine {
             // The attempt is not a probe, and the record counted without it.
-            Some(quarantine) if started_ms < quarantine.until_ms => return false,
+            Some(quarantine) if started_ms < quarantine.last_resort_from_ms => return false,
             Some(quarantine) => quarantine.failed_probes + 1,
             None if !self.is_failing() => return false,
             None => 0,
--- a/crates/policy/src/worker.rs
+++ b/crates/policy/src/worker.rs
@@ -47,6 +47,8 @@
     /// Part reserved for `reserved_for`, whether or not it is free yet.
     pub(crate) reserved: Resources,
     pub(crate) health: Health,
+    /// True while no other worker can take all that this one can.
+    pub(crate) last_resort: bool,
     pub(crate) tasks: Vec<Task>,
 }
 
@@ -55,11 +57,19 @@
     pub(crate) fn available(&self, now_ms: u64) -> Resources {
         match self {
             w if w.state != WorkerState::Active => Resources::ZERO,
-            w if !w.health.accepts_tasks(now_ms, w.last_start_ms()) => Resources::ZERO,
+            w if w.accepts_at_ms().is_some_and(|at| now_ms < at) => Resources::ZERO,
             w => w.free.minus(w.reserved),
         }
     }
 
+    /// When a worker on probation next accepts a task unless an attempt ends before.
+    pub(crate) fn accepts_at_ms(&self) -> Option<u64> {
+        match self.last_resort {
+            true => self.health.accepts_last_resort_at_ms(self.last_start_ms()),
+            false => self.health.accepts_at_ms(self.last_start_ms()),
+        }
+    }
+
     /// When the last of its running attempts was started.
     pub(crate) fn last_start_ms(&self) -> Option<u64> {
         self.tasks.iter().map(|task| task.started_ms).max()
--- a/crates/policy/tests/engine.rs
+++ b/crates/policy/tests/engine.rs
@@ -382,3 +382,46 @@
     }
     panic!("both jobs should fail");
 }
+
+/// Guards against a sound worker that gets no work for up to five minutes, although no other is
+/// large enough for what waits: each series of failures doubled its quarantine.
+#[test]
+fn a_sound_worker_without_an_alternative_is_used_soon_after_it_failed() {
+    const FAILING_MS: u64 = 40_000;
+    const MAX_UNUSED_MS: u64 = 7_000;
+    const MAX_STARTS: usize = 14;
+    for smaller in [0, 3] {
+        let (mut engine, team, _) = engine(1, 8);
+        for _ in 0..smaller {
+            engine.add_worker(CORE.times(2), 0);
+        }
+        let (mut starts, mut first_sound_start) = (0, None);
+        for now_ms in (100..=FAILING_MS + MAX_UNUSED_MS).step_by(100) {
+            engine.submit(&request(team, WorkKind::Batch, 1, 4), &[], now_ms);
+            let decisions = place(&mut engine, now_ms);
+            let started = decisions.iter();
+            let started = started
+                .filter(|d| matches!(d, Decision::Start { .. }))
+                .count();
+            let outcome = match now_ms <= FAILING_MS {
+                true => Outcome::Failed,
+                false => Outcome::Completed,
+            };
+            match outcome {
+                Outcome::Failed => starts += started,
+                _ if started > 0 => drop(first_sound_start.get_or_insert(now_ms)),
+                _ => {}
+            }
+            end_all(&mut engine, &decisions, outcome, now_ms + 1);
+        }
+
+        assert!(
+            first_sound_start.is_some(),
+            "{smaller} smaller ones: not used"
+        );
+        assert!(
+            starts <= MAX_STARTS,
+            "{smaller} smaller ones: {starts} starts"
+        );
+    }
+}
--- a/crates/sched/src/failures.rs
+++ b/crates/sched/src/failures.rs
@@ -123,6 +123,24 @@
             })
     }
 
+    /// Ends the probation of backend servers on which a long-running task has run for long
+    /// enough. Such a task never completes.
+    pub(crate) fn observe_lasting_probes(&mut self, now: Duration) {
+        for server in &mut self.fleet.servers {
+            if !server.health.is_on_probation() || server.unresponsive {
+                continue;
+            }
+            let placed = server.runs.iter().filter_map(|run| {
+                let is_lasting = self.ledger.spec(run.task.step)?.long_running;
+                let placed = self.ledger.runs.get(run).filter(|_| is_lasting)?;
+                (placed.state == RunState::Running).then_some(placed.ordered_at)
+            });
+            if let Some(started_at) = placed.max() {
+                server.health.observe_lasting(ms(started_at), ms(now));
+            }
+        }
+    }
+
     /// Attributes a failure of `holder`, a task or the first of a gang, that was noted
     /// with the backend server: to the server, or to the job. `started_at` is when the
     /// run was started.
--- a/crates/sched/src/place.rs
+++ b/crates/sched/src/place.rs
@@ -74,6 +74,7 @@
             return;
         }
         self.create_due_occurrences(cx);
+        self.observe_lasting_probes(cx.now());
         let mut ranked_steps = self.collect_ranked_steps(cx);
         ranked_steps.sort_by_key(|ranked| (ranked.rank, ranked.step));
         self.waiting_steps = ranked_steps.len() as u32;
--- a/crates/sched/src/place/copies.rs
+++ b/crates/sched/src/place/copies.rs
@@ -363,6 +363,7 @@
             let server = self.fleet.get(ix);
             let usable = server.listing.id != original.id
                 && !pool.withheld.contains(&ix)
+                && !candidate.last_resort
                 && !self.is_silent(ix, cx.now())
                 && (copy.cause != Cause::Silent || self.is_settled(ix, cx.now()))
                 && self.step_runs_on(ix, step) < max_per_server;
--- a/crates/sched/src/place/gang.rs
+++ b/crates/sched/src/place/gang.rs
@@ -24,7 +24,8 @@
         let max_reserved = pool.candidates.len() / RESERVED_DIVISOR;
         let each = spec.committed();
         let capable = pool.candidates.iter().filter(|(ix, candidate)| {
-            each.fits(&candidate.capacity) && self.is_eligible(step, spec, *ix)
+            let is_eligible = !candidate.last_resort && self.is_eligible(step, spec, *ix);
+            is_eligible && each.fits(&candidate.capacity)
         });
         let mut capable: Vec<(ServerIx, Candidate)> = capable.copied().collect();
         capable.sort_by_key(|(ix, candidate)| {
--- a/crates/sched/src/place/query.rs
+++ b/crates/sched/src/place/query.rs
@@ -71,7 +71,13 @@
         let capable = capable.filter(|(ix, candidate)| {
             each.fits(&candidate.capacity) && self.is_eligible(step, spec, *ix)
         });
-        let prospects: Vec<Prospect> = capable.map(prospect).collect();
+        // Tickets for servers in quarantine alone would send the step there.
+        let (last_resorts, others): (Vec<_>, Vec<_>) =
+            capable.partition(|(_, candidate)| candidate.last_resort);
+        let mut prospects: Vec<Prospect> = others.into_iter().map(prospect).collect();
+        if prospects.iter().all(|other| other.room == 0) {
+            prospects.extend(last_resorts.into_iter().map(prospect));
+        }
         let salt = u64::from(crc32fast::hash(job.id.as_bytes())) << 32 | u64::from(step.step);
         let grant_rate = self.policy_dispatcher.grant_rate(&job.queue);
         let preference = match each.accelerators {
--- a/crates/sched/src/place/suspect.rs
+++ b/crates/sched/src/place/suspect.rs
@@ -38,13 +38,13 @@
         let all: Vec<(ServerIx, Candidate)> = with_room.collect();
         // The servers to avoid may have just restarted, and be the only ones that have
         // settled, so it waits for the others if they have room.
-        let is_sought = |ix: ServerIx| {
+        let is_sought = |(ix, candidate): &(ServerIx, Candidate)| {
             let mut tasks = waiting.iter().map(|index| step.task(*index));
-            tasks.all(|task| !self.is_avoided(task, ix))
+            !candidate.last_resort && tasks.all(|task| !self.is_avoided(task, *ix))
         };
         let sought: Vec<_> = all
             .iter()
-            .filter(|(ix, _)| is_sought(*ix))
+            .filter(|entry| is_sought(entry))
             .copied()
             .collect();
         let suffices = self.plan_step(step, spec, waiting, &sought).len() == waiting.len();
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -12,6 +12,7 @@
 
 use crate::fleet::ServerIx;
 use crate::ledger::StepRef;
+use crate::notice::ms;
 use crate::owner::{Cx, Owner};
 use crate::place::Plan;
 
@@ -118,7 +119,8 @@
             let Some((_, (ix, candidate, placed))) = best else {
                 break;
             };
-            candidate.free = match candidate.on_probation {
+            // A whole gang is one probe.
+            candidate.free = match candidate.on_probation && !spec.gang {
                 true => Resources::ZERO,
                 false => candidate.free.minus(each),
             };
@@ -256,6 +258,7 @@
             failed_before: false,
             suspected: server.health.is_suspected(),
             on_probation: server.health.is_on_probation(),
+            last_resort: server.health.is_last_resort(ms(now)),
         }
     }
 }
--- a/crates/sched/tests/owner/health.rs
+++ b/crates/sched/tests/owner/health.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use model::{Graph, Resources, RunOutcome, Step};
-use sched::Notice;
+use sched::{Event, Listing, Notice};
 
-use crate::harness::{Harness, TICK, graph, owner_of};
+use crate::harness::{Harness, TICK, graph, named_listing, owner_of};
 
 /// Time that a run takes to fail or to complete.
 const RUN_TIME: Duration = Duration::from_millis(300);
@@ -191,3 +191,201 @@
         assert!(most <= Some(&MAX_STARTS), "{case}: {starts:?}");
     }
 }
+
+/// Longest time in which a sound backend server gets none of the work that only it may run,
+/// from the last failure there on.
+const MAX_UNUSED_TIME: Duration = Duration::from_secs(7);
+/// Time for which a failing backend server fails all that it starts.
+const FAILING_TIME: Duration = Duration::from_millis(6_500);
+const LABEL: &str = "ssd";
+
+/// An owner of four backend servers, of which the first `labelled` have the label.
+fn owner_of_labelled(labelled: usize) -> Harness {
+    let mut harness = owner_of(4);
+    for n in 0..labelled {
+        harness.deliver(Event::ServerListed(Listing {
+            labels: vec![LABEL.into()],
+            ..named_listing(&format!("s{n}"))
+        }));
+    }
+    harness
+}
+
+/// A job of one step that only servers with the label may run.
+fn labelled(step: Step) -> Graph {
+    let plain = graph();
+    let steps = vec![Step {
+        label: Some(LABEL.into()),
+        image: plain.steps[0].image.clone(),
+        estimate: plain.steps[0].estimate,
+        each: match step.each {
+            Resources::ZERO => plain.steps[0].each,
+            each => each,
+        },
+        ..step
+    }];
+    Graph { steps, ..plain }
+}
+
+/// Submits a labelled job of `step` each 500 ms for `time`. All that starts on the first server
+/// fails. Returns the number of the next job.
+fn play_failing(harness: &mut Harness, step: &Step, first_job: usize, time: Duration) -> usize {
+    let until = harness.now + time;
+    let mut job = first_job;
+    while harness.now < until {
+        let graph = labelled(step.clone());
+        harness.submit_to(&format!("/plain/{}", job_id(job)), graph);
+        job += 1;
+        play(
+            harness,
+            Duration::from_millis(500),
+            |server, job| match server {
+                "s0" => Some(RunOutcome::Failed),
+                _ => (job != LASTING).then_some(RunOutcome::Completed),
+            },
+        );
+    }
+    job
+}
+
+fn starts_on(harness: &Harness, server: &str) -> usize {
+    let placements = harness.placements.iter();
+    placements.filter(|(id, _)| id == server).count()
+}
+
+/// Guards against a sound backend server that gets no work for up to five minutes, although
+/// no other may run what waits: each series of failures doubled its quarantine.
+#[test]
+fn a_sound_server_without_an_alternative_is_used_soon_after_it_failed() {
+    let task = Step {
+        tasks: 1,
+        ..Step::default()
+    };
+    let gang = Step {
+        tasks: 3,
+        gang: true,
+        ..Step::default()
+    };
+    for step in [task, gang] {
+        for windows in [1, 2, 3, 6] {
+            for pause in [1, 5, 12].map(Duration::from_secs) {
+                let mut harness = owner_of_labelled(1);
+                let mut job = 1;
+                for window in 0..windows {
+                    let rest = if window > 0 { pause } else { Duration::ZERO };
+                    play(&mut harness, rest, |_, _| Some(RunOutcome::Completed));
+                    job = play_failing(&mut harness, &step, job, FAILING_TIME);
+                }
+                harness.placements.clear();
+
+                let waiting = labelled(step.clone());
+                harness.submit_to(&format!("/plain/{}", job_id(job)), waiting);
+                play(&mut harness, MAX_UNUSED_TIME, |_, _| {
+                    Some(RunOutcome::Completed)
+                });
+
+                let waiting = starts_of(&harness, &job_id(job));
+                let case = format!("{windows} windows, {pause:?} apart, gang: {}", step.gang);
+                assert_eq!(waiting, step.tasks as usize, "{case}: not started");
+            }
+        }
+    }
+}
+
+/// Guards against the same where the other backend server that may run the work is full.
+#[test]
+fn a_sound_server_is_used_soon_after_it_failed_if_the_others_are_full() {
+    const JOBS: usize = 50;
+    let mut harness = owner_of_labelled(2);
+    let lasting = labelled(Step {
+        tasks: 1,
+        long_running: true,
+        each: Resources::of(60_000, 512, 0, 0),
+        ..Step::default()
+    });
+    harness.submit_to(&format!("/plain/{LASTING}"), lasting);
+    harness.advance(Duration::from_secs(1));
+    let full = harness.placements[0].0.clone();
+    let failing = if full == "s0" { "s1" } else { "s0" };
+    let step = Step {
+        tasks: 1,
+        each: Resources::of(8_000, 512, 0, 0),
+        ..Step::default()
+    };
+    for job in 1..JOBS {
+        let graph = labelled(step.clone());
+        harness.submit_to(&format!("/plain/{}", job_id(job)), graph);
+        play(&mut harness, Duration::from_millis(500), |server, job| {
+            (job != LASTING && server == failing).then_some(RunOutcome::Failed)
+        });
+    }
+    assert!(harness.notices.iter().any(is_held_back));
+
+    harness.submit_to(&format!("/plain/{}", job_id(JOBS)), labelled(step));
+    play(&mut harness, MAX_UNUSED_TIME, |_, job| {
+        (job != LASTING).then_some(RunOutcome::Completed)
+    });
+
+    assert_eq!(starts_of(&harness, &job_id(JOBS)), 1);
+}
+
+/// Guards against tasks that last and wait for one another on a sound backend server: none of
+/// them completes, so that the server stayed on probation.
+#[test]
+fn tasks_that_last_start_soon_after_their_server_failed() {
+    const TASKS: u32 = 6;
+    let mut harness = owner_of_labelled(1);
+    let task = Step {
+        tasks: 1,
+        ..Step::default()
+    };
+    play_failing(&mut harness, &task, 1, FAILING_TIME * 3);
+    let lasting = labelled(Step {
+        tasks: TASKS,
+        long_running: true,
+        ..Step::default()
+    });
+
+    harness.submit_to(&format!("/plain/{LASTING}"), lasting);
+    play(&mut harness, MAX_UNUSED_TIME, |_, job| {
+        (job != LASTING).then_some(RunOutcome::Completed)
+    });
+
+    assert_eq!(starts_of(&harness, LASTING), TASKS as usize);
+}
+
+/// Guards against a backend server that fails all that it starts and goes on getting work, as
+/// no other one may run it.
+#[test]
+fn a_server_without_an_alternative_that_fails_all_gets_few_starts() {
+    /// Starts in 24 s: those before it is held back, and its probes.
+    const MAX_STARTS: usize = 8;
+    let mut harness = owner_of_labelled(1);
+    let task = Step {
+        tasks: 1,
+        ..Step::default()
+    };
+
+    play_failing(&mut harness, &task, 1, Duration::from_secs(24));
+
+    let starts = starts_on(&harness, "s0");
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+}
+
+/// Guards against work that is given to a backend server which fails all, though others with
+/// room may run it: beyond its quarantine it would lose an attempt each few seconds.
+#[test]
+fn a_server_that_keeps_failing_gets_no_work_that_others_may_run() {
+    /// Starts in two minutes: those before it is held back, and probes after 5, 10, 20, 40 s.
+    const MAX_STARTS: usize = 8;
+    let mut harness = owner_of_labelled(3);
+    let task = Step {
+        tasks: 1,
+        ..Step::default()
+    };
+
+    play_failing(&mut harness, &task, 1, Duration::from_secs(120));
+
+    let starts = starts_on(&harness, "s0");
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+}
