An entry without a service is not the word of a server that the roster lists

Found in reading: a server that a new owner knows from the roster has no known service, so an entry of another writer with an empty service matched it, and counted as its next incarnation.

Before: the new test fails for the empty service, the server's runs move to the incarnation that the entry made up. After: it passes, all tests of one VM pass.

--- a/crates/sched/src/place/query.rs
+++ b/crates/sched/src/place/query.rs
@@ -71,7 +71,7 @@
         let capable = capable.filter(|(ix, candidate)| {
             each.fits(&candidate.capacity) && self.is_eligible(step, spec, *ix)
         });
-        // Tickets for servers in quarantine alone would send the step there.
+        // A step that has tickets only for servers in quarantine would start there.
         let (last_resorts, others): (Vec<_>, Vec<_>) =
             capable.partition(|(_, candidate)| candidate.last_resort);
         let mut prospects: Vec<Prospect> = others.into_iter().map(prospect).collect();
--- a/crates/sched/src/registry.rs
+++ b/crates/sched/src/registry.rs
@@ -40,12 +40,12 @@
             self.registry.unnamed.extend(entries);
             return;
         }
-        let named: Vec<Name> = listings.iter().map(|l| l.id.clone()).collect();
+        let present: Vec<Name> = listings.iter().map(|l| l.id.clone()).collect();
         let missing: Vec<Name> = self
             .fleet
             .servers
             .iter()
-            .filter(|s| s.listed && !named.contains(&s.listing.id))
+            .filter(|s| s.listed && !present.contains(&s.listing.id))
             .map(|s| s.listing.id.clone())
             .collect();
         for listing in listings {
@@ -80,15 +80,16 @@
     /// True if the service of an entry is named by the configuration, by an accepted job, or
     /// by the entry that it replaces: operators may remove a service that is still in use.
     fn is_named(&self, listing: &Listing, cx: &Cx<'_>) -> bool {
+        let service = &listing.service;
         let known = self.fleet.find(&listing.id);
         let known = known.map(|ix| &self.fleet.get(ix).listing.service);
-        cx.config.names_service(&listing.service)
-            || known == Some(&listing.service)
-            || self
-                .ledger
-                .jobs
-                .values()
-                .any(|job| job.service == listing.service)
+        match () {
+            () if cx.config.names_service(service) => true,
+            // The roster doesn't state the services of the servers that it lists.
+            () if service.is_empty() => false,
+            () if known == Some(service) => true,
+            () => self.ledger.jobs.values().any(|job| job.service == *service),
+        }
     }
 
     /// Applies one registry entry. Entries of older incarnations are ignored.
--- a/crates/sched/tests/owner/registry.rs
+++ b/crates/sched/tests/owner/registry.rs
@@ -24,6 +24,10 @@
     }
 }
 
+fn is_loss(notice: &Notice) -> bool {
+    matches!(notice, Notice::ServerLost { .. })
+}
+
 /// The configuration with a limit for its team, below which a successor has to know what runs.
 fn limited_config() -> Config {
     let Config {
@@ -96,6 +100,38 @@
     assert_eq!(harness.placements.len(), 3, "{:?}", harness.placements);
 }
 
+/// Guards against the same after a takeover, when the service of a server that the roster lists
+/// is not known yet.
+#[test]
+fn an_entry_of_an_unnamed_service_ends_no_run_after_a_takeover() {
+    for service in ["elsewhere", ""] {
+        let mut owner = owner_of(2);
+        owner.submit_plain(FIRST);
+        owner.advance(Duration::from_secs(1));
+        let (server, run) = owner.placements[0].clone();
+        let foreign = Listing {
+            service: service.into(),
+            ..foreign_listing(&server)
+        };
+
+        let mut successor = replace_owner(owner, 1);
+        let own = successor.listings.clone();
+        successor.listings.retain(|listing| listing.id != server);
+        successor.listings.push(foreign);
+        successor.advance(Duration::from_secs(3));
+        for listing in own {
+            successor.deliver(Event::ServerListed(listing));
+        }
+        successor.advance(RECOVERY_TIME);
+
+        let at_work = successor.fleet[&server].running.iter();
+        let runs = at_work.filter(|progress| progress.run == run).count();
+        assert_eq!((runs, successor.placements.len()), (1, 0), "{service:?}");
+        let notices = &successor.notices;
+        assert!(!notices.iter().any(is_loss), "{service:?}: {notices:?}");
+    }
+}
+
 /// Guards against backend servers that are ignored because they registered before the
 /// configuration that names their service was read.
 #[test]
@@ -159,6 +195,9 @@
     harness.advance(Duration::from_secs(1));
 
     assert!(!harness.placements.is_empty(), "{:?}", harness.notices);
-    let lost = |notice: &Notice| matches!(notice, Notice::ServerLost { .. });
-    assert!(!harness.notices.iter().any(lost), "{:?}", harness.notices);
+    assert!(
+        !harness.notices.iter().any(is_loss),
+        "{:?}",
+        harness.notices
+    );
 }
