--- a/crates/sched/tests/owner/registry.rs
+++ b/crates/sched/tests/owner/registry.rs
@@ -132,6 +132,30 @@
     }
 }
 
+/// Guards against the same shape where the entries are in the roster already: their service was
+/// named when they were read, and the operator has removed it since.
+#[test]
+fn servers_of_a_removed_service_do_not_hold_up_a_successor() {
+    let ids = (0..7).map(|n| Name::from(format!("other-{n}")));
+    let entries: Vec<Listing> = ids.map(|id| foreign_listing(&id)).collect();
+    let mut owner = owner_of(3);
+    owner.unreachable = entries.iter().map(|entry| entry.id.clone()).collect();
+    owner.install(config_with_service("elsewhere"));
+    for entry in &entries {
+        owner.deliver(Event::ServerListed(entry.clone()));
+    }
+    owner.advance(Duration::from_secs(2));
+    assert!(owner.roster_lists("other-0"));
+    owner.listings.extend(entries);
+
+    let mut successor = replace_owner(owner, 1);
+    successor.install(limited_config());
+    successor.submit_plain(FIRST);
+    successor.advance(RECOVERY_TIME);
+
+    assert!(!successor.placements.is_empty(), "{:?}", successor.notices);
+}
+
 /// Guards against backend servers that are ignored because they registered before the
 /// configuration that names their service was read.
 #[test]
